--- a/src/framework/supervision/internal/supervisor.cpp
+++ b/src/framework/supervision/internal/supervisor.cpp
@@ -9,11 +9,8 @@
 namespace radishladder::supervision {
 struct Supervisor::Child
 {
-    Child(IComponent &component, const RestartPolicy &policy) :
-        component(component),
-        policy(policy)
-    {
-    }
+    Child(IComponent &component, const RestartPolicy &policy) : component(component), policy(policy)
+    { }
 
     IComponent &component;
     RestartPolicy policy;
