--- a/src/framework/net/tests/httptest.cpp
+++ b/src/framework/net/tests/httptest.cpp
@@ -8,13 +8,21 @@
 #include "net/types/httpresult.h"
 
 #include <criterion/criterion.h>
+#include <unistd.h>
 
 using namespace radishladder;
 using namespace radishladder::net;
 
 namespace {
-constexpr Endpoint kServer{0x7f000001, 18471};
-constexpr Endpoint kClosed{0x7f000001, 18472};
+constexpr std::uint32_t kLoopback = 0x7f000000;
+constexpr std::uint32_t kHostBits = 0x3fffff;
+
+//! Each test runs in a process of its own; an address of its own lets test programs run side by
+//! side.
+Endpoint ownEndpoint()
+{
+    return {kLoopback | 0x400000 | (static_cast<std::uint32_t>(getpid()) & kHostBits), 18471};
+}
 
 HttpResult exchange(const Endpoint &server, const std::string &body)
 {
@@ -36,7 +44,8 @@
 
 Test(http, request_and_answer_pass_whole)
 {
-    PistacheHttpServer server({.local = kServer});
+    const Endpoint local = ownEndpoint();
+    PistacheHttpServer server({.local = local});
     cr_assert(server.start([](const HttpRequest &request,
                               const std::shared_ptr<IHttpResponder> &responder) {
         responder->answer({.status = 201,
@@ -45,7 +54,7 @@
                            .body = request.body});
     }));
     const std::string body(3 * 1024 * 1024, 'r');
-    const HttpResult result = exchange(kServer, body);
+    const HttpResult result = exchange(local, body);
     cr_assert(result.reason.code == ResultCode::Ok, "%s", result.reason.detail.c_str());
     cr_assert_eq(result.answer.status, 201);
     cr_assert(result.answer.body == body);
@@ -56,7 +65,7 @@
 
 Test(http, refused_connection_sent_nothing)
 {
-    const HttpResult result = exchange(kClosed, "body");
+    const HttpResult result = exchange(ownEndpoint(), "body");
     cr_assert(result.reason.code == ResultCode::StoreUnreachable);
     cr_assert(!result.anythingSent);
 }
--- a/src/membership/imembership.h
+++ b/src/membership/imembership.h
@@ -37,11 +37,11 @@
 
     //! True once every VM either reports \a revision or has been silent so long that it cannot be
     //! confident itself.
-    virtual bool isEpochKnownByAll(std::int64_t revision,
-                                   std::chrono::steady_clock::time_point now) const = 0;
+    virtual bool isRevisionKnownByAll(std::int64_t revision,
+                                      std::chrono::steady_clock::time_point now) const = 0;
 
     //! What this VM reports of itself in heartbeats.
-    virtual void reportOwn(std::uint64_t generation, std::int64_t epochRevision) = 0;
+    virtual void reportOwn(std::uint64_t generation, std::int64_t documentRevision) = 0;
 
     //! Calls \a subscriber whenever a VM appears or changes state.
     virtual void subscribe(Subscriber subscriber) = 0;
--- a/src/membership/types/member.h
+++ b/src/membership/types/member.h
@@ -17,6 +17,7 @@
     net::Endpoint data;
     net::Endpoint peer;
     net::Endpoint requests;
+    net::Endpoint admin;
 
     MemberState state = MemberState::Alive;
 
@@ -28,7 +29,7 @@
     //! Configuration generation the VM has reported.
     std::uint64_t generation = 0;
 
-    //! Store revision up to which the VM has reported to know all epochs.
-    std::int64_t epochRevision = 0;
+    //! Store revision up to which the VM has reported to know all documents.
+    std::int64_t documentRevision = 0;
 };
 }
--- a/src/operations/configurationfollower.h
+++ b/src/operations/configurationfollower.h
@@ -2,14 +2,15 @@
 
 #include "global/reason.h"
 
-#include <cstdint>
 #include <string>
+#include <vector>
 
 namespace radishladder::settings {
 class ConfigurationHolder;
 }
 namespace radishladder::store {
 class IConfigStore;
+struct StoredValue;
 }
 namespace radishladder::telemetry {
 class ITimeLine;
@@ -28,13 +29,14 @@
     void poll();
 
 private:
-    void accept(const std::string &text);
+    void noteReach(const Reason &reason);
+    void accept(const std::vector<store::StoredValue> &values);
 
     store::IConfigStore &store;
     settings::ConfigurationHolder &holder;
     telemetry::ITimeLine &timeLine;
     bool outstanding = false;
-    std::int64_t seenRevision = 0;
+    std::string seenHead;
     ResultCode lastFailure = ResultCode::Ok;
 };
 }
--- a/src/settings/internal/vmsettingsreader.cpp
+++ b/src/settings/internal/vmsettingsreader.cpp
@@ -27,6 +27,41 @@
     return endpoints;
 }
 
+FlowMechanism readFlowMechanism(FieldReader &reader)
+{
+    const std::string text = reader.textOr("flowMechanism", "epochs");
+    if (text == "epochs") {
+        return FlowMechanism::Epochs;
+    }
+    if (text == "hash") {
+        return FlowMechanism::Hash;
+    }
+    if (text == "hash-cache") {
+        return FlowMechanism::HashCache;
+    }
+    if (text != "home") {
+        reader.fail(ResultCode::FieldRange, "flowMechanism",
+                    "is none of epochs, hash, hash-cache, home");
+    }
+    return FlowMechanism::Home;
+}
+
+RequestMechanism readRequestMechanism(FieldReader &reader)
+{
+    const std::string text = reader.textOr("requestMechanism", "shared");
+    if (text == "shared") {
+        return RequestMechanism::Shared;
+    }
+    if (text == "least-connections") {
+        return RequestMechanism::LeastConnections;
+    }
+    if (text != "round-robin") {
+        reader.fail(ResultCode::FieldRange, "requestMechanism",
+                    "is none of shared, least-connections, round-robin");
+    }
+    return RequestMechanism::RoundRobin;
+}
+
 bool isPeerKey(const Json::Value &value)
 {
     return value.isString() && value.asString().size() == kPeerKeyDigits
@@ -86,6 +121,8 @@
     settings.peerKeys = readPeerKeys(reader);
     settings.adminToken = reader.text("adminToken");
     settings.openReads = reader.booleanOr("openReads", true);
+    settings.flowMechanism = readFlowMechanism(reader);
+    settings.requestMechanism = readRequestMechanism(reader);
     reader.rejectUnknownFields();
     checkDistinct(reader, settings);
     if (!reader.isOk()) {
--- a/src/settings/types/vmsettings.h
+++ b/src/settings/types/vmsettings.h
@@ -2,6 +2,8 @@
 
 #include "global/name.h"
 #include "net/types/endpoint.h"
+#include "settings/types/flowmechanism.h"
+#include "settings/types/requestmechanism.h"
 
 #include <string>
 #include <vector>
@@ -38,5 +40,11 @@
 
     //! Calls that only read need no token.
     bool openReads = true;
+
+    //! How flows are placed; all but epochs are baselines for measurements.
+    FlowMechanism flowMechanism = FlowMechanism::Epochs;
+
+    //! How requests are spread; all but shared are baselines for measurements.
+    RequestMechanism requestMechanism = RequestMechanism::Shared;
 };
 }
--- a/tools/radishbench/steadyrun.cpp
+++ b/tools/radishbench/steadyrun.cpp
@@ -7,8 +7,8 @@
 #include "radishbench/deployment.h"
 #include "radishbench/requestcaller.h"
 #include "radishbench/vmprocesses.h"
-#include "settings/configurationreader.h"
-#include "settings/jsonfile.h"
+#include "settings/configurationcodec.h"
+#include "settings/types/encodedconfiguration.h"
 #include "standins/flowcaller.h"
 #include "standins/storestandin.h"
 #include "standins/upstreamstandin.h"
@@ -44,8 +44,11 @@
     {
         Reason reason;
         this->fabric = net::BatchSocket::open({this->deployment.callers + 1, 0}, reason);
-        const auto json = settings::configurationJson(this->deployment.configuration);
-        this->store.put(std::string(store::kConfigurationKey), settings::jsonText(json));
+        const auto encoded = settings::ConfigurationCodec().encode(this->deployment.configuration);
+        for (const auto &[digest, part] : encoded.partsByDigest) {
+            this->store.put(std::string(store::kPartPrefix) + digest, part);
+        }
+        this->store.put(std::string(store::kConfigurationKey), encoded.head);
         bool started = this->fabric && this->store.start() && this->flowCaller.start();
         for (const settings::Service &service : this->deployment.configuration.services) {
             for (const settings::Upstream &upstream : service.upstreams) {
