Decide states and limits of upstreams on every VM

New work has to land only where it can be carried. Upstreams joins the tracker and the shares: states from shared probes, own observations and the digests of the two probers; requests, flows a second and connections admitted within this VM's share. Shares settle when every listed VM has confirmed the list, and a paused VM uses none until it has confirmed again.

--- a/src/upstreams/internal/shareledger.cpp
+++ b/src/upstreams/internal/shareledger.cpp
@@ -9,6 +9,7 @@
                               const DataCentreName &dataCentre)
 {
     std::vector<const ListedVm *> eligible;
+    eligible.reserve(list.size());
     for (const ListedVm &vm : list) {
         if (vm.dataCentre == dataCentre) {
             eligible.push_back(&vm);
@@ -21,11 +22,13 @@
     }
     const std::uint64_t key = hash64(subject);
     std::vector<std::pair<std::uint64_t, VmName>> scored;
+    scored.reserve(eligible.size());
     for (const ListedVm *vm : eligible) {
         scored.emplace_back(rendezvousScore(key, vm->name.str()), vm->name);
     }
     std::ranges::sort(scored, std::greater());
     std::vector<VmName> names;
+    names.reserve(scored.size());
     for (auto &[score, name] : scored) {
         names.push_back(std::move(name));
     }
@@ -59,6 +62,16 @@
     }
 }
 
+void ShareLedger::prolongRest(TimePoint now)
+{
+    for (Entry &entry : this->lists) {
+        const bool isResting = entry.replacedAt + this->rest > now;
+        if (&entry != &this->lists.back() && isResting) {
+            entry.replacedAt = now;
+        }
+    }
+}
+
 bool ShareLedger::mayConfirm(TimePoint now) const
 {
     return this->lastRemoval == TimePoint::min() || this->lastRemoval + this->rest <= now;
--- a/src/upstreams/internal/shareledger.h
+++ b/src/upstreams/internal/shareledger.h
@@ -29,6 +29,9 @@
     //! Every listed VM has released what this list takes from it.
     void confirm();
 
+    //! Lets the replaced lists rest from \a now on.
+    void prolongRest(TimePoint now);
+
     //! True if this VM may say that it has released: no VM left the list within the rest.
     bool mayConfirm(TimePoint now) const;
 
--- /dev/null
+++ b/src/upstreams/internal/upstreamentry.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "settings/types/upstream.h"
+#include "upstreams/internal/upstreamtracker.h"
+#include "upstreams/upstreams.h"
+
+#include <map>
+#include <vector>
+
+namespace radishladder::upstreams {
+
+//! Everything this VM keeps about one upstream.
+struct Upstreams::Entry
+{
+    explicit Entry(const settings::Upstream &upstream) : upstream(upstream), tracker(upstream.slots)
+    { }
+
+    settings::Upstream upstream;
+    ServiceName service;
+    bool dataCentreOut = false;
+    UpstreamTracker tracker;
+    std::vector<VmName> probers;
+    bool isProber = false;
+
+    //! Own observations changed the warmth since it was last published.
+    bool hasNews = false;
+    std::optional<Digest> published;
+    std::map<VmName, Condition> remoteConditions;
+
+    int running = 0;
+    int flows = 0;
+    TimePoint nextFlowAt{};
+    UpstreamState lastState = UpstreamState::Starting;
+
+    bool isOut() const { return this->upstream.drain || this->dataCentreOut; }
+
+    UpstreamState state(TimePoint now) const
+    {
+        return this->isOut() ? UpstreamState::Leaving : this->tracker.state(now);
+    }
+
+    ResultCode reason() const
+    {
+        if (this->dataCentreOut) {
+            return ResultCode::UpstreamDataCentreOut;
+        }
+        return this->upstream.drain ? ResultCode::UpstreamLeaving : this->tracker.reason();
+    }
+
+    //! Shares of flows and of requests rank the VMs differently.
+    std::string flowSubject() const { return "flows/" + this->upstream.name.str(); }
+    const std::string &slotSubject() const { return this->upstream.name.str(); }
+};
+}
--- a/src/upstreams/tests/shareledgertest.cpp
+++ b/src/upstreams/tests/shareledgertest.cpp
@@ -60,6 +60,7 @@
         const int total = *rc::gen::element(1, 3, 20);
         std::vector<VmList> lists;
         std::vector<ShareLedger> ledgers;
+        ledgers.reserve(9);
         std::vector<std::size_t> seen(9, 0);
         std::vector<std::deque<std::pair<ShareLedger::TimePoint, int>>> used(9);
         for (int vm = 0; vm < 9; ++vm) {
