--- a/src/requests/requestheaders.h
+++ b/src/requests/requestheaders.h
@@ -18,4 +18,7 @@
 
 //! Set to "not-run" by an upstream that refused a request without running it.
 inline constexpr std::string_view kUpstreamRefusalHeader = "X-Refused";
+
+//! Set on a request that one VM has handed to another, which then keeps it.
+inline constexpr std::string_view kHopHeader = "X-Radishladder-Hop";
 }
--- a/src/upstreams/tests/fakes.h
+++ b/src/upstreams/tests/fakes.h
@@ -88,6 +88,8 @@
     }
     void subscribe(Subscriber subscriber) override { this->subscriber = std::move(subscriber); }
 
+    const VmName &owner() const { return this->self; }
+
     void learn(const VmName &origin, const std::string &key, const std::optional<Value> &value)
     {
         if (value) {
--- a/src/upstreams/tests/upstreamstest.cpp
+++ b/src/upstreams/tests/upstreamstest.cpp
@@ -7,6 +7,7 @@
 
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
+#include <set>
 
 using namespace radishladder;
 using namespace radishladder::upstreams;
@@ -60,7 +61,9 @@
     {
         this->clock.advance(duration);
         for (auto &vm : this->vms) {
-            vm->upstreams.tick(this->clock.now());
+            if (!this->isDead(*vm)) {
+                vm->upstreams.tick(this->clock.now());
+            }
         }
         this->bus.deliverAll();
     }
@@ -86,12 +89,31 @@
     {
         for (int i = 0; i < count * 2; ++i) {
             for (auto &vm : this->vms) {
-                vm->upstreams.probeAnswered(kHost, {.state = state}, this->clock.now());
+                if (!this->isDead(*vm)) {
+                    vm->upstreams.probeAnswered(kHost, {.state = state}, this->clock.now());
+                }
             }
             this->step();
         }
     }
 
+    //! A dead VM does and learns nothing more.
+    void kill(const VmName &name)
+    {
+        this->dead.insert(name);
+        std::erase_if(this->bus.vms,
+                      [&](const FakeFacts *facts) { return facts->owner() == name; });
+        for (auto &vm : this->vms) {
+            for (membership::Member &member : vm->membership.list) {
+                if (member.name == name) {
+                    member.state = membership::MemberState::Dead;
+                }
+            }
+        }
+    }
+
+    bool isDead(const Vm &vm) const { return this->dead.contains(vm.membership.self()); }
+
     //! Requests that all VMs together are allowed at once.
     int admittedAtOnce()
     {
@@ -136,6 +158,7 @@
     settings::ConfigurationHolder holder;
     std::vector<membership::Member> list;
     std::vector<std::unique_ptr<Vm>> vms;
+    std::set<VmName> dead;
 };
 }
 
@@ -207,25 +230,21 @@
 {
     Fleet fleet(9);
     fleet.settle();
-    std::vector<VmName> dead;
+    std::vector<VmName> probers;
     for (std::size_t i = 0; i < 2; ++i) {
         Fleet::Vm *prober = fleet.prober(i);
         prober->upstreams.probeAnswered(kHost, {.state = ReportedState::Shedding},
                                         fleet.clock.now());
-        dead.push_back(prober->membership.self());
+        probers.push_back(prober->membership.self());
     }
     fleet.bus.deliverAll();
-    for (auto &vm : fleet.vms) {
-        for (membership::Member &member : vm->membership.list) {
-            if (std::ranges::find(dead, member.name) != dead.end()) {
-                member.state = membership::MemberState::Dead;
-            }
-        }
+    for (const VmName &prober : probers) {
+        fleet.kill(prober);
     }
     fleet.step();
     fleet.probeSeconds(8);
     for (auto &vm : fleet.vms) {
-        if (std::ranges::find(dead, vm->membership.self()) == dead.end()) {
+        if (!fleet.isDead(*vm)) {
             cr_assert_eq(vm->upstreams.state(kHost), UpstreamState::Ready);
         }
     }
