Agree on slot tables by epochs and mark contested slots

Cause: a plain hash breaks flows whenever VMs differ on the upstreams. Change: module placement. Marks make all slots of an upstream contested while it takes no new flows or a record is off the table; they settle when all VMs know them. Conclusion: exceptions no longer depend on the store being up; only the tables do.

--- /dev/null
+++ b/src/placement/internal/epochplacement.cpp
@@ -0,0 +1,419 @@
+#include "placement/epochplacement.h"
+
+#include "distribution/idocumentfeed.h"
+#include "global/hash.h"
+#include "membership/isharedfacts.h"
+#include "placement/epochcodec.h"
+#include "placement/factkeys.h"
+#include "placement/internal/recordcounts.h"
+#include "placement/internal/servicetables.h"
+#include "settings/iconfigurationsource.h"
+#include "settings/types/configuration.h"
+#include "store/storekeys.h"
+#include "store/types/storedvalue.h"
+#include "telemetry/itimeline.h"
+#include "upstreams/iupstreams.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace radishladder::placement {
+namespace {
+constexpr std::uint64_t kHomeKeySeed = 0x686f6d65;
+constexpr std::size_t kHomePartitions = 256;
+
+bool takesNewFlows(upstreams::UpstreamState state)
+{
+    return state == upstreams::UpstreamState::Ready;
+}
+
+membership::ISharedFacts::Value bytesOf(std::uint64_t value)
+{
+    membership::ISharedFacts::Value bytes(sizeof value);
+    for (std::size_t i = 0; i < sizeof value; ++i) {
+        bytes[i] = static_cast<std::uint8_t>(value >> (8 * i));
+    }
+    return bytes;
+}
+}
+
+//! One service as the flow path sees it.
+struct ServiceState
+{
+    settings::Service description;
+    bool configured = false;
+    ServiceTables tables;
+    std::chrono::steady_clock::time_point oldestUsedAt{};
+    std::uint64_t releasedEpoch = 0;
+};
+
+//! Marks of one upstream.
+struct MarkState
+{
+    bool own = false;
+    bool settled = false;
+    std::set<VmName> origins;
+};
+
+struct EpochPlacement::State
+{
+    distribution::IDocumentFeed &feed;
+    membership::ISharedFacts &facts;
+    upstreams::IUpstreams &upstreams;
+    telemetry::ITimeLine &timeLine;
+
+    std::vector<std::unique_ptr<ServiceState>> services;
+    std::map<std::pair<net::Endpoint, std::uint8_t>, ServiceIndex> servicesByAddress;
+    std::unordered_map<ServiceName, ServiceIndex> servicesByName;
+    std::vector<UpstreamEntry> entries;
+    std::vector<MarkState> marks;
+    std::unordered_map<std::uint64_t, UpstreamIndex> entriesByWireId;
+    std::unordered_map<UpstreamName, UpstreamIndex> entriesByName;
+
+    //! Configured upstreams that take no new flows now.
+    std::set<UpstreamIndex> unusable;
+    std::set<UpstreamIndex> ownMarks;
+    RecordCounts records;
+    TimePoint lastTick{};
+
+    ServiceIndex serviceIndex(const ServiceName &name);
+    UpstreamIndex upstreamIndex(std::uint64_t wireId);
+    UpstreamIndex resolve(std::uint64_t wireId) const;
+};
+
+ServiceIndex EpochPlacement::State::serviceIndex(const ServiceName &name)
+{
+    const auto [found, isNew] =
+        this->servicesByName.try_emplace(name, static_cast<ServiceIndex>(this->services.size()));
+    if (isNew) {
+        this->services.push_back(std::make_unique<ServiceState>());
+    }
+    return found->second;
+}
+
+UpstreamIndex EpochPlacement::State::upstreamIndex(std::uint64_t wireId)
+{
+    const auto [found, isNew] =
+        this->entriesByWireId.try_emplace(wireId, static_cast<UpstreamIndex>(this->entries.size()));
+    if (isNew) {
+        this->entries.push_back({.wireId = wireId});
+        this->marks.emplace_back();
+    }
+    return found->second;
+}
+
+UpstreamIndex EpochPlacement::State::resolve(std::uint64_t wireId) const
+{
+    const auto found = this->entriesByWireId.find(wireId);
+    return found == this->entriesByWireId.end() ? kNoUpstream : found->second;
+}
+
+EpochPlacement::EpochPlacement(settings::IConfigurationSource &configuration,
+                               distribution::IDocumentFeed &feed, membership::ISharedFacts &facts,
+                               upstreams::IUpstreams &upstreams, telemetry::ITimeLine &timeLine)
+    : state(new State{feed, facts, upstreams, timeLine})
+{
+    this->applyConfiguration(*configuration.current());
+    configuration.subscribe(
+        [this](const settings::Configuration &accepted) { this->applyConfiguration(accepted); });
+    feed.subscribe(std::string(store::kEpochPrefix), [this](const store::StoredValue &document) {
+        this->applyDocument(document.key, document.value);
+    });
+    upstreams.subscribe(
+        [this](const UpstreamName &name, upstreams::UpstreamState, upstreams::UpstreamState) {
+            const auto found = this->state->entriesByName.find(name);
+            if (found != this->state->entriesByName.end()) {
+                this->updateUsable(found->second);
+            }
+        });
+    facts.subscribe(
+        [this](const VmName &, const std::string &key, const auto &) { this->applyMark(key); });
+}
+
+EpochPlacement::~EpochPlacement() = default;
+
+std::uint64_t EpochPlacement::wireIdOf(const settings::Upstream &upstream)
+{
+    return hash64(upstream.name.str() + "@" + net::endpointText(upstream.tunnel));
+}
+
+void EpochPlacement::applyConfiguration(const settings::Configuration &configuration)
+{
+    State &state = *this->state;
+    std::set<DataCentreName> out;
+    for (const settings::DataCentre &dataCentre : configuration.dataCentres) {
+        if (dataCentre.out) {
+            out.insert(dataCentre.name);
+        }
+    }
+    for (const auto &service : state.services) {
+        service->configured = false;
+    }
+    for (UpstreamEntry &entry : state.entries) {
+        entry.configured = false;
+        entry.dataCentreOut = out.contains(entry.upstream.dataCentre);
+    }
+    state.servicesByAddress.clear();
+    state.entriesByName.clear();
+    state.unusable.clear();
+    for (const settings::Service &service : configuration.services) {
+        const ServiceIndex index = state.serviceIndex(service.name);
+        state.services[index]->description = service;
+        state.services[index]->configured = true;
+        state.servicesByAddress[{service.address, static_cast<std::uint8_t>(service.protocol)}] =
+            index;
+        for (const settings::Upstream &upstream : service.upstreams) {
+            const UpstreamIndex upstreamIndex = state.upstreamIndex(wireIdOf(upstream));
+            UpstreamEntry &entry = state.entries[upstreamIndex];
+            entry.upstream = upstream;
+            entry.service = index;
+            entry.configured = true;
+            entry.dataCentreOut = out.contains(upstream.dataCentre);
+            state.entriesByName[upstream.name] = upstreamIndex;
+            this->updateUsable(upstreamIndex);
+        }
+    }
+    for (const auto &service : state.services) {
+        service->tables.resolveAgain(
+            [&state](std::uint64_t wireId) { return state.resolve(wireId); });
+    }
+    this->updateOwnMarks();
+}
+
+void EpochPlacement::applyDocument(const std::string &key, const std::string &value)
+{
+    State &state = *this->state;
+    EpochCodec codec;
+    const auto document = codec.decode(value);
+    const ServiceName name(key.substr(store::kEpochPrefix.size()));
+    if (!document) {
+        state.timeLine.record({.kind = "epoch.refused",
+                               .service = name,
+                               .reason = codec.lastReason().code,
+                               .detail = codec.lastReason().detail});
+        return;
+    }
+    const ServiceIndex index = state.serviceIndex(name);
+    ServiceState &service = *state.services[index];
+    for (const auto &[wireId, member] : document->members) {
+        UpstreamEntry &entry = state.entries[state.upstreamIndex(wireId)];
+        if (entry.upstream.name.isEmpty()) {
+            entry.upstream = {
+                .name = member.name, .dataCentre = member.dataCentre, .tunnel = member.tunnel};
+            entry.service = index;
+            entry.configured = false;
+        }
+    }
+    const bool isTaken = service.tables.accept(
+        *document, [&state](std::uint64_t wireId) { return state.resolve(wireId); });
+    if (isTaken) {
+        service.oldestUsedAt = std::max(service.oldestUsedAt, state.lastTick);
+        state.timeLine.record({.kind = document->newestActive ? "epoch.active" : "epoch.announced",
+                               .service = name,
+                               .subject = std::to_string(document->tables.back().epoch)});
+    }
+}
+
+void EpochPlacement::applyMark(const std::string &factKey)
+{
+    const auto wireId = markedWireId(factKey);
+    if (!wireId) {
+        return;
+    }
+    // Known before the configuration that names the upstream has arrived: the entry is filled in
+    // later.
+    const UpstreamIndex index = this->state->upstreamIndex(*wireId);
+    std::set<VmName> origins;
+    for (VmName &origin : this->state->facts.origins(factKey)) {
+        origins.insert(std::move(origin));
+    }
+    this->state->marks[index].origins = std::move(origins);
+}
+
+std::optional<ServiceIndex> EpochPlacement::service(const net::Endpoint &address,
+                                                    std::uint8_t protocol) const
+{
+    const auto found = this->state->servicesByAddress.find({address, protocol});
+    if (found == this->state->servicesByAddress.end()
+        || this->state->services[found->second]->tables.isEmpty()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+std::optional<ServiceIndex> EpochPlacement::find(const ServiceName &service) const
+{
+    const auto found = this->state->servicesByName.find(service);
+    return found == this->state->servicesByName.end() ? std::nullopt
+                                                      : std::make_optional(found->second);
+}
+
+const settings::Service &EpochPlacement::description(ServiceIndex service) const
+{
+    return this->state->services[service]->description;
+}
+
+const ServiceTables &EpochPlacement::tables(ServiceIndex service) const
+{
+    return this->state->services[service]->tables;
+}
+
+SlotView EpochPlacement::view(ServiceIndex service, std::uint64_t hash) const
+{
+    const ServiceTables &tables = this->state->services[service]->tables;
+    const std::size_t slot = tables.slotOf(hash);
+    SlotView view;
+    view.oldest = tables.oldest(slot);
+    view.current = tables.current(slot);
+    const MarkState *mark =
+        view.current == kNoUpstream ? nullptr : &this->state->marks[view.current];
+    const bool isMarked = mark != nullptr && (mark->own || !mark->origins.empty());
+    view.contested = isMarked || tables.differs(slot);
+    view.settled = (mark != nullptr && mark->settled) || tables.differsSettled(slot);
+    return view;
+}
+
+std::uint64_t EpochPlacement::homeKey(ServiceIndex service, std::uint64_t hash) const
+{
+    const std::string &name = this->state->services[service]->description.name.str();
+    return hash64(name, kHomeKeySeed) + (hash >> 32) % kHomePartitions;
+}
+
+const UpstreamEntry &EpochPlacement::upstream(UpstreamIndex index) const
+{
+    return this->state->entries[index];
+}
+
+std::optional<UpstreamIndex> EpochPlacement::findWireId(std::uint64_t wireId) const
+{
+    const UpstreamIndex index = this->state->resolve(wireId);
+    return index == kNoUpstream ? std::nullopt : std::make_optional(index);
+}
+
+void EpochPlacement::alternatives(ServiceIndex service, std::uint64_t hash,
+                                  std::vector<UpstreamIndex> &result) const
+{
+    result.clear();
+    for (const settings::Upstream &upstream :
+         this->state->services[service]->description.upstreams) {
+        const UpstreamIndex index = this->state->resolve(wireIdOf(upstream));
+        if (index != kNoUpstream && !this->state->unusable.contains(index)) {
+            result.push_back(index);
+        }
+    }
+    std::ranges::sort(result, std::greater<>(), [this, hash](UpstreamIndex index) {
+        return rendezvousScore(hash, this->state->entries[index].upstream.name.str());
+    });
+}
+
+void EpochPlacement::noteOldestUsed(ServiceIndex service, TimePoint now)
+{
+    this->state->services[service]->oldestUsedAt = now;
+}
+
+void EpochPlacement::recordAdded(ServiceIndex service, std::uint64_t hash, UpstreamIndex upstream)
+{
+    const std::size_t slot = this->state->services[service]->tables.slotOf(hash);
+    this->state->records.add({service, static_cast<std::uint32_t>(slot), upstream});
+}
+
+void EpochPlacement::recordRemoved(ServiceIndex service, std::uint64_t hash, UpstreamIndex upstream)
+{
+    const std::size_t slot = this->state->services[service]->tables.slotOf(hash);
+    this->state->records.remove({service, static_cast<std::uint32_t>(slot), upstream});
+}
+
+bool EpochPlacement::isUsable(const UpstreamEntry &entry) const
+{
+    return entry.configured && !entry.upstream.drain && !entry.dataCentreOut
+        && takesNewFlows(this->state->upstreams.state(entry.upstream.name));
+}
+
+void EpochPlacement::updateUsable(UpstreamIndex index)
+{
+    if (this->isUsable(this->state->entries[index])) {
+        this->state->unusable.erase(index);
+    } else {
+        this->state->unusable.insert(index);
+    }
+}
+
+void EpochPlacement::tick(TimePoint now)
+{
+    this->state->lastTick = now;
+    this->updateOwnMarks();
+    this->updateSettled(now);
+    this->updateReleased(now);
+}
+
+void EpochPlacement::updateOwnMarks()
+{
+    State &state = *this->state;
+    std::set<UpstreamIndex> wanted = state.unusable;
+    state.records.forEach([&](const RecordCounts::Key &key) {
+        const UpstreamIndex current = state.services[key.service]->tables.current(key.slot);
+        if (current != key.upstream && current != kNoUpstream) {
+            wanted.insert(current);
+        }
+    });
+    for (const UpstreamIndex index : wanted) {
+        if (!state.ownMarks.contains(index)) {
+            state.marks[index].own = true;
+            state.facts.publish(markKey(state.entries[index].wireId), {});
+        }
+    }
+    for (const UpstreamIndex index : state.ownMarks) {
+        if (!wanted.contains(index)) {
+            state.marks[index].own = false;
+            state.marks[index].settled = false;
+            state.facts.withdraw(markKey(state.entries[index].wireId));
+        }
+    }
+    state.ownMarks = std::move(wanted);
+}
+
+void EpochPlacement::updateSettled(TimePoint now)
+{
+    for (const UpstreamIndex index : this->state->ownMarks) {
+        MarkState &mark = this->state->marks[index];
+        if (!mark.settled) {
+            mark.settled =
+                this->state->facts.isKnownByAll(markKey(this->state->entries[index].wireId), now);
+        }
+    }
+}
+
+void EpochPlacement::updateReleased(TimePoint now)
+{
+    State &state = *this->state;
+    std::set<ServiceIndex> offNewest;
+    state.records.forEach([&](const RecordCounts::Key &key) {
+        const ServiceTables &tables = state.services[key.service]->tables;
+        if (tables.differs(key.slot) && tables.newest(key.slot) != key.upstream) {
+            offNewest.insert(key.service);
+        }
+    });
+    for (ServiceIndex index = 0; index < state.services.size(); ++index) {
+        ServiceState &service = *state.services[index];
+        const auto &tables = service.tables.document().tables;
+        const std::string key = releasedKey(service.description.name);
+        if (tables.size() < 2) {
+            if (service.releasedEpoch != 0) {
+                service.releasedEpoch = 0;
+                state.facts.withdraw(key);
+            }
+            continue;
+        }
+        const bool isIdle = service.oldestUsedAt + service.description.idleLimit < now;
+        const std::uint64_t oldest = tables.front().epoch;
+        if (isIdle && !offNewest.contains(index) && service.releasedEpoch < oldest) {
+            service.releasedEpoch = oldest;
+            // The next table is now the oldest; flows that rely on it get a whole idle limit again.
+            service.oldestUsedAt = now;
+            state.facts.publish(key, bytesOf(oldest));
+        }
+    }
+}
+}
--- a/src/placement/iplacement.h
+++ b/src/placement/iplacement.h
@@ -49,9 +49,10 @@
     //! A flow without record was forwarded by the oldest table of a contested slot.
     virtual void noteOldestUsed(ServiceIndex service, TimePoint now) = 0;
 
-    //! This VM holds one more or one less record (as home or backup) that a flow with \a hash is on \a upstream.
-    //! A slot with a record off its table stays contested on every VM.
+    //! This VM holds one more or one less record (as home or backup) that a flow with \a hash is on
+    //! \a upstream. A slot with a record off its table stays contested on every VM.
     virtual void recordAdded(ServiceIndex service, std::uint64_t hash, UpstreamIndex upstream) = 0;
-    virtual void recordRemoved(ServiceIndex service, std::uint64_t hash, UpstreamIndex upstream) = 0;
+    virtual void recordRemoved(ServiceIndex service, std::uint64_t hash,
+                               UpstreamIndex upstream) = 0;
 };
 }
