Group services in the stored configuration

Change: the head lists at most 64 groups, a group lists its services' digests; digests() follows the groups that are at hand. Conclusion: what a change costs grows with services over 64, not with services.

--- a/src/settings/configurationcodec.h
+++ b/src/settings/configurationcodec.h
@@ -3,6 +3,7 @@
 #include "global/reason.h"
 
 #include <functional>
+#include <json/value.h>
 #include <optional>
 #include <string>
 #include <vector>
@@ -11,8 +12,8 @@
 struct Configuration;
 struct EncodedConfiguration;
 
-//! Splits a configuration into a head and parts, so that a change rewrites only the services it
-//! touches.
+//! Splits a configuration into a head, groups of services and one part a service, so that a change
+//! rewrites only the head, one group and the services it touches.
 class ConfigurationCodec
 {
 public:
@@ -21,8 +22,10 @@
 
     EncodedConfiguration encode(const Configuration &configuration) const;
 
-    //! Digests that \a head refers to; std::nullopt if it is malformed (see lastReason()).
-    std::optional<std::vector<std::string>> digests(const std::string &head);
+    //! Digests of all parts that \a head refers to, directly or through a group that is at hand;
+    //! std::nullopt if something is malformed (see lastReason()).
+    std::optional<std::vector<std::string>> digests(const std::string &head,
+                                                    const FindPart &findPart);
 
     //! std::nullopt if a part is missing, altered or wrong (see lastReason()).
     std::optional<Configuration> decode(const std::string &head, const FindPart &findPart);
@@ -30,6 +33,9 @@
     const Reason &lastReason() const { return this->reason; }
 
 private:
+    std::optional<Json::Value> readPart(const std::string &digest, const FindPart &findPart);
+    bool readServices(const Json::Value &groups, const FindPart &findPart, Json::Value &services);
+
     Reason reason;
 };
 }
--- a/src/settings/internal/configurationcodec.cpp
+++ b/src/settings/internal/configurationcodec.cpp
@@ -1,15 +1,18 @@
 #include "settings/configurationcodec.h"
 
+#include "global/hash.h"
 #include "settings/configurationreader.h"
 #include "settings/jsonfile.h"
 #include "settings/types/encodedconfiguration.h"
 
+#include <map>
 #include <sodium/crypto_generichash.h>
 #include <sodium/utils.h>
 
 namespace radishladder::settings {
 namespace {
 constexpr std::size_t kDigestBytes = 16;
+constexpr std::uint64_t kServiceGroups = 64;
 
 std::string digestOf(const std::string &text)
 {
@@ -25,63 +28,107 @@
 EncodedConfiguration ConfigurationCodec::encode(const Configuration &configuration) const
 {
     EncodedConfiguration encoded;
-    Json::Value head = configurationJson(configuration);
-    Json::Value digests(Json::arrayValue);
-    for (const Json::Value &service : head["services"]) {
-        const std::string text = jsonText(service);
+    const auto addPart = [&encoded](const Json::Value &part) {
+        const std::string text = jsonText(part);
         const std::string digest = digestOf(text);
-        digests.append(digest);
         encoded.partsByDigest[digest] = text;
+        return digest;
+    };
+    Json::Value head = configurationJson(configuration);
+    std::map<std::uint64_t, Json::Value> groups;
+    for (const Json::Value &service : head["services"]) {
+        groups[hash64(service["name"].asString()) % kServiceGroups].append(addPart(service));
+    }
+    head.removeMember("services");
+    head["groups"] = Json::Value(Json::arrayValue);
+    for (const auto &[number, group] : groups) {
+        head["groups"].append(addPart(group));
     }
-    head["services"] = digests;
     encoded.head = jsonText(head);
     return encoded;
 }
 
-std::optional<std::vector<std::string>> ConfigurationCodec::digests(const std::string &head)
+std::optional<std::vector<std::string>> ConfigurationCodec::digests(const std::string &head,
+                                                                    const FindPart &findPart)
 {
     this->reason = {};
     const auto json = parseJson(head, "configuration head", this->reason);
     if (!json) {
         return std::nullopt;
     }
-    if (!json->isObject() || !(*json)["services"].isArray()) {
-        this->reason = {ResultCode::FieldType, "configuration head: /services is not an array"};
+    if (!json->isObject() || !(*json)["groups"].isArray()) {
+        this->reason = {ResultCode::FieldType, "configuration head: /groups is not an array"};
         return std::nullopt;
     }
     std::vector<std::string> digests;
-    for (const Json::Value &digest : (*json)["services"]) {
-        digests.push_back(digest.isString() ? digest.asString() : std::string());
+    for (const Json::Value &group : (*json)["groups"]) {
+        digests.push_back(group.isString() ? group.asString() : std::string());
+        const auto text = findPart(digests.back());
+        if (!text) {
+            continue;
+        }
+        const auto services = parseJson(*text, "group " + digests.back(), this->reason);
+        if (!services) {
+            return std::nullopt;
+        }
+        for (const Json::Value &service : *services) {
+            digests.push_back(service.isString() ? service.asString() : std::string());
+        }
     }
     return digests;
 }
 
-std::optional<Configuration> ConfigurationCodec::decode(const std::string &head,
+std::optional<Json::Value> ConfigurationCodec::readPart(const std::string &digest,
                                                         const FindPart &findPart)
 {
-    const auto wanted = this->digests(head);
-    if (!wanted) {
+    const auto text = findPart(digest);
+    if (!text) {
+        this->reason = {ResultCode::StoreKeyMissing, "part " + digest + " is not known"};
         return std::nullopt;
     }
-    auto json = parseJson(head, "configuration head", this->reason);
-    Json::Value services(Json::arrayValue);
-    for (const std::string &digest : *wanted) {
-        const auto text = findPart(digest);
-        if (!text) {
-            this->reason = {ResultCode::StoreKeyMissing, "part " + digest + " is not known"};
-            return std::nullopt;
-        }
-        if (digestOf(*text) != digest) {
-            this->reason = {ResultCode::StoreAnswerInvalid,
-                            "part " + digest + " has another content"};
-            return std::nullopt;
+    if (digestOf(*text) != digest) {
+        this->reason = {ResultCode::StoreAnswerInvalid, "part " + digest + " has another content"};
+        return std::nullopt;
+    }
+    return parseJson(*text, "part " + digest, this->reason);
+}
+
+bool ConfigurationCodec::readServices(const Json::Value &groups, const FindPart &findPart,
+                                      Json::Value &services)
+{
+    for (const Json::Value &groupDigest : groups) {
+        const auto group = this->readPart(groupDigest.asString(), findPart);
+        if (!group) {
+            return false;
         }
-        const auto part = parseJson(*text, "part " + digest, this->reason);
-        if (!part) {
-            return std::nullopt;
+        for (const Json::Value &serviceDigest : *group) {
+            const auto service = this->readPart(serviceDigest.asString(), findPart);
+            if (!service) {
+                return false;
+            }
+            services.append(*service);
         }
-        services.append(*part);
     }
+    return true;
+}
+
+std::optional<Configuration> ConfigurationCodec::decode(const std::string &head,
+                                                        const FindPart &findPart)
+{
+    this->reason = {};
+    auto json = parseJson(head, "configuration head", this->reason);
+    if (!json) {
+        return std::nullopt;
+    }
+    if (!json->isObject() || !(*json)["groups"].isArray()) {
+        this->reason = {ResultCode::FieldType, "configuration head: /groups is not an array"};
+        return std::nullopt;
+    }
+    Json::Value services(Json::arrayValue);
+    if (!this->readServices((*json)["groups"], findPart, services)) {
+        return std::nullopt;
+    }
+    json->removeMember("groups");
     (*json)["services"] = services;
     ConfigurationReader reader;
     auto configuration = reader.read(*json);
--- a/test.sh
+++ b/test.sh
@@ -6,3 +6,4 @@
 cmake -S . -B build -G Ninja
 cmake --build build
 ctest --test-dir build --output-on-failure -j 4
+grep -ah 'Synthesis' build/Testing/Temporary/LastTest.log
