Complete the store client and its stand-in

The client spoke a part of the gateway only: no removal, no end of a watch, and a failed write was repeated by nobody or, worse, by libcurl itself. libcurl sends a request again when a connection that was used before closes without an answer, so a compare-and-swap whose answer was lost ran twice and reported a conflict with itself. Test storestandin::a_lost_answer_is_neither_success_nor_conflict failed with StoreConflict before writes got fresh connections and gives StoreAnswerLost now. Writes go to the next gateway only if nothing was sent. The stand-in has leases, watches as long polls, delays, outages, lost answers, stale reads and refused callers; a second run() of the event loop works.

--- a/src/framework/net/ihttpresponder.h
+++ b/src/framework/net/ihttpresponder.h
@@ -14,6 +14,9 @@
     //! Sends \a answer; only the first call has an effect.
     virtual void answer(const HttpAnswer &answer) = 0;
 
+    //! Closes the connection without an answer.
+    virtual void drop() { }
+
     //! True if the caller has closed its connection.
     virtual bool isCallerGone() const = 0;
 };
--- a/src/framework/net/internal/asioeventloop.cpp
+++ b/src/framework/net/internal/asioeventloop.cpp
@@ -99,8 +99,13 @@
 
 void AsioEventLoop::run()
 {
-    const auto guard = asio::make_work_guard(this->state->context);
-    this->state->context.run();
+    {
+        const auto guard = asio::make_work_guard(this->state->context);
+        this->state->context.run();
+    }
+    // The end of the guard's work stops the context as stop() does; without this line a second
+    // run() would return at once.
+    this->state->context.restart();
 }
 
 void AsioEventLoop::stop()
--- a/src/framework/net/internal/curltransfer.cpp
+++ b/src/framework/net/internal/curltransfer.cpp
@@ -65,6 +65,7 @@
     curl_easy_setopt(this->easy, CURLOPT_HEADERFUNCTION, &CurlTransfer::writeHeader);
     curl_easy_setopt(this->easy, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(this->easy, CURLOPT_PRIVATE, this);
+    curl_easy_setopt(this->easy, CURLOPT_FRESH_CONNECT, this->call.freshConnection ? 1L : 0L);
     if (this->call.method == "HEAD") {
         curl_easy_setopt(this->easy, CURLOPT_NOBODY, 1L);
     }
--- a/src/framework/net/internal/pistachehttpserver.cpp
+++ b/src/framework/net/internal/pistachehttpserver.cpp
@@ -51,6 +51,14 @@
         this->writer.send(static_cast<Pistache::Http::Code>(answer.status), answer.body);
     }
 
+    void drop() override
+    {
+        const auto peer = this->writer.getPeer();
+        if (peer && !this->answered.exchange(true)) {
+            ::shutdown(peer->fd(), SHUT_RDWR);
+        }
+    }
+
     bool isCallerGone() const override
     {
         const auto peer = this->writer.getPeer();
--- a/src/framework/net/types/httpcall.h
+++ b/src/framework/net/types/httpcall.h
@@ -19,6 +19,10 @@
     std::chrono::milliseconds connectTimeout{1000};
     std::size_t maxAnswerBytes = 16 * 1024 * 1024;
 
+    //! Never sent over a connection that was used before: such a call may be sent twice when the
+    //! server closes the connection without an answer.
+    bool freshConnection = false;
+
     //! If set, the body is handed over piece by piece as it arrives instead of being collected.
     std::function<void(std::string_view)> onData;
 };
--- a/src/store/etcdstore.h
+++ b/src/store/etcdstore.h
@@ -23,6 +23,7 @@
     void list(const std::string &prefix, ListHandler handler) override;
     void compareAndSwap(const std::string &key, std::int64_t expected, const std::string &value,
                         std::optional<LeaseId> lease, WriteHandler handler) override;
+    void remove(const std::string &key, std::int64_t expected, WriteHandler handler) override;
     void grantLease(std::chrono::seconds duration, LeaseHandler handler) override;
     void keepLeaseAlive(LeaseId lease, LeaseHandler handler) override;
     WatchId watch(const std::string &prefix, std::int64_t fromRevision,
--- a/src/store/internal/etcdstore.cpp
+++ b/src/store/internal/etcdstore.cpp
@@ -5,103 +5,161 @@
 #include "net/types/httpresult.h"
 #include "settings/jsonfile.h"
 #include "store/base64.h"
+#include "store/internal/etcdjson.h"
+#include "store/internal/etcdwatch.h"
 #include "store/types/storedvalue.h"
 
-#include <charconv>
+#include <map>
 
 namespace radishladder::store {
 namespace {
 constexpr std::chrono::milliseconds kCallTimeout{2000};
-constexpr std::chrono::hours kWatchTimeout{24};
-constexpr int kHttpOk = 200;
 
-//! Integers travel as strings in the gateway's JSON.
-std::int64_t integerOf(const Json::Value &value)
-{
-    if (value.isIntegral()) {
-        return value.asInt64();
-    }
-    const std::string text = value.isString() ? value.asString() : std::string();
-    std::int64_t number = 0;
-    std::from_chars(text.data(), text.data() + text.size(), number);
-    return number;
-}
+// A watch whose connection died unnoticed is renewed after this long.
+constexpr std::chrono::seconds kWatchTimeout{60};
+constexpr int kHttpOk = 200;
 
-StoredValue storedValueOf(const Json::Value &json)
-{
-    StoredValue value;
-    value.key = decodeBase64(json["key"].asString()).value_or("");
-    value.value = decodeBase64(json["value"].asString()).value_or("");
-    value.revision = integerOf(json["mod_revision"]);
-    return value;
-}
+enum class CallKind {
+    Read,
+    Write,
+};
 
-//! First key after all that start with \a prefix.
-std::string endOfPrefix(std::string prefix)
+//! Reason of a failed call; Ok if the answer is there and has status 200.
+Reason failureOf(const net::HttpResult &result, CallKind kind)
 {
-    while (!prefix.empty() && static_cast<unsigned char>(prefix.back()) == 0xff) {
-        prefix.pop_back();
+    const bool isLostWrite = kind == CallKind::Write && result.anythingSent;
+    if (result.reason.code != ResultCode::Ok) {
+        if (!result.anythingSent) {
+            return {ResultCode::StoreUnreachable, result.reason.detail};
+        }
+        const bool isTimeout = result.reason.code == ResultCode::StoreTimeout;
+        const ResultCode lost =
+            isLostWrite ? ResultCode::StoreAnswerLost : ResultCode::StoreUnreachable;
+        return {isTimeout ? ResultCode::StoreTimeout : lost, result.reason.detail};
     }
-    if (prefix.empty()) {
-        return std::string(1, '\0');
+    if (result.answer.status != kHttpOk) {
+        return {isLostWrite ? ResultCode::StoreAnswerLost : ResultCode::StoreAnswerInvalid,
+                "status " + std::to_string(result.answer.status)};
     }
-    prefix.back() = static_cast<char>(static_cast<unsigned char>(prefix.back()) + 1);
-    return prefix;
+    return {};
 }
 
-std::optional<Json::Value> answerJson(const net::HttpResult &result, Reason &reason)
+std::optional<Json::Value> answerJson(const net::HttpResult &result, CallKind kind, Reason &reason)
 {
-    if (result.reason.code != ResultCode::Ok) {
-        reason = result.reason;
-        return std::nullopt;
-    }
-    if (result.answer.status != kHttpOk) {
-        reason = {ResultCode::StoreAnswerInvalid, "status " + std::to_string(result.answer.status)};
+    reason = failureOf(result, kind);
+    if (reason.code != ResultCode::Ok) {
         return std::nullopt;
     }
     auto json = settings::parseJson(result.answer.body, "store answer", reason);
-    if (!json || !json->isObject()) {
-        reason.code = ResultCode::StoreAnswerInvalid;
+    const bool isAnswer = json && json->isObject() && (*json)["error"].isNull();
+    if (!isAnswer) {
+        // An answer that cannot be read says nothing about whether the write took effect.
+        reason.code =
+            kind == CallKind::Write ? ResultCode::StoreAnswerLost : ResultCode::StoreAnswerInvalid;
         return std::nullopt;
     }
     return json;
 }
+
+Json::Value compareRevision(const std::string &key, std::int64_t expected)
+{
+    Json::Value compare(Json::objectValue);
+    compare["key"] = encodeBase64(key);
+    compare["target"] = "MOD";
+    compare["result"] = "EQUAL";
+    compare["mod_revision"] = std::to_string(expected);
+    return compare;
+}
 }
 
 struct EtcdStore::State
 {
+    using AnswerHandler = std::function<void(std::optional<Json::Value>, Reason)>;
+
     net::IHttpClient &client;
     std::vector<net::Endpoint> gateways;
     std::size_t nextGateway = 0;
+    std::map<WatchId, std::shared_ptr<EtcdWatch>> watches;
 
-    std::string url(const std::string &path)
+    std::string url(const std::string &path) const
     {
         return "http://" + net::endpointText(this->gateways[this->nextGateway]) + path;
     }
 
-    //! Posts \a body; a failed gateway is passed over by the next call.
-    void post(const std::string &path, const Json::Value &body,
-              std::function<void(std::optional<Json::Value>, Reason)> handler)
+    void passOver(std::size_t gateway)
+    {
+        // Several calls may fail at one gateway; only the first moves on.
+        if (gateway == this->nextGateway) {
+            this->nextGateway = (this->nextGateway + 1) % this->gateways.size();
+        }
+    }
+
+    //! Posts \a body to the gateways in turn while that cannot repeat a write.
+    void post(const std::string &path, const Json::Value &body, CallKind kind,
+              AnswerHandler handler)
+    {
+        this->attempt(path, settings::jsonText(body), kind, this->gateways.size(),
+                      std::move(handler));
+    }
+
+    void attempt(const std::string &path, const std::string &body, CallKind kind,
+                 std::size_t attempts, AnswerHandler handler)
     {
-        net::HttpCall call{.method = "POST",
-                           .url = this->url(path),
-                           .headers = {{"Content-Type", "application/json"}},
-                           .body = settings::jsonText(body),
-                           .timeout = kCallTimeout};
-        this->client.send(
-            std::move(call), [this, handler = std::move(handler)](const net::HttpResult &result) {
-                Reason reason;
-                auto json = answerJson(result, reason);
-                if (!json) {
-                    this->nextGateway = (this->nextGateway + 1) % this->gateways.size();
-                }
-                handler(std::move(json), std::move(reason));
-            });
+        net::HttpCall call{
+            .method = "POST",
+            .url = this->url(path),
+            .headers = {{"Content-Type", "application/json"}, {"Connection", "keep-alive"}},
+            .body = body,
+            .timeout = kCallTimeout,
+            .freshConnection = kind == CallKind::Write};
+        this->client.send(std::move(call),
+                          [this, path, body, kind, attempts, gateway = this->nextGateway,
+                           handler = std::move(handler)](const net::HttpResult &result) mutable {
+                              Reason reason;
+                              auto json = answerJson(result, kind, reason);
+                              if (json) {
+                                  handler(std::move(json), {});
+                                  return;
+                              }
+                              this->passOver(gateway);
+                              // A read that timed out has used up its caller's patience.
+                              const bool isRepeatable = !result.anythingSent
+                                  || (kind == CallKind::Read
+                                      && reason.code != ResultCode::StoreTimeout);
+                              if (isRepeatable && attempts > 1) {
+                                  this->attempt(path, body, kind, attempts - 1, std::move(handler));
+                                  return;
+                              }
+                              handler(std::nullopt, std::move(reason));
+                          });
+    }
+
+    //! Runs \a operation if the revision of \a key is \a expected.
+    void transact(const std::string &key, std::int64_t expected, const Json::Value &operation,
+                  WriteHandler handler)
+    {
+        Json::Value body(Json::objectValue);
+        body["compare"].append(compareRevision(key, expected));
+        body["success"].append(operation);
+        this->post("/v3/kv/txn", body, CallKind::Write,
+                   [key, handler = std::move(handler)](auto json, Reason reason) {
+                       if (!json) {
+                           handler(std::nullopt, std::move(reason));
+                           return;
+                       }
+                       if (!(*json)["succeeded"].isBool() || !(*json)["succeeded"].asBool()) {
+                           handler(
+                               std::nullopt,
+                               {ResultCode::StoreConflict, key + " was changed by another writer"});
+                           return;
+                       }
+                       handler(etcdInteger((*json)["header"]["revision"]), {});
+                   });
     }
 };
 
 EtcdStore::EtcdStore(net::IHttpClient &client, std::vector<net::Endpoint> gateways)
-    : state(std::make_unique<State>(State{client, std::move(gateways)}))
+    : state(std::make_unique<State>(State{client, std::move(gateways), 0, {}}))
 { }
 
 EtcdStore::~EtcdStore() = default;
@@ -110,19 +168,20 @@
 {
     Json::Value body(Json::objectValue);
     body["key"] = encodeBase64(key);
-    this->state->post(
-        "/v3/kv/range", body, [handler = std::move(handler)](auto json, Reason reason) {
-            if (!json) {
-                handler(std::nullopt, 0, std::move(reason));
-                return;
-            }
-            const std::int64_t revision = integerOf((*json)["header"]["revision"]);
-            if ((*json)["kvs"].empty()) {
-                handler(std::nullopt, revision, {ResultCode::StoreKeyMissing, "key is absent"});
-                return;
-            }
-            handler(storedValueOf((*json)["kvs"][0]), revision, {});
-        });
+    this->state->post("/v3/kv/range", body, CallKind::Read,
+                      [key, handler = std::move(handler)](auto json, Reason reason) {
+                          if (!json) {
+                              handler(std::nullopt, 0, std::move(reason));
+                              return;
+                          }
+                          const std::int64_t revision = etcdInteger((*json)["header"]["revision"]);
+                          const Json::Value &items = (*json)["kvs"];
+                          if (!items.isArray() || items.empty()) {
+                              handler(std::nullopt, revision, {ResultCode::StoreKeyMissing, key});
+                              return;
+                          }
+                          handler(etcdStoredValue(items[0]), revision, {});
+                      });
 }
 
 void EtcdStore::list(const std::string &prefix, ListHandler handler)
@@ -130,7 +189,7 @@
     Json::Value body(Json::objectValue);
     body["key"] = encodeBase64(prefix);
     body["range_end"] = encodeBase64(endOfPrefix(prefix));
-    this->state->post("/v3/kv/range", body,
+    this->state->post("/v3/kv/range", body, CallKind::Read,
                       [handler = std::move(handler)](auto json, Reason reason) {
                           if (!json) {
                               handler(std::nullopt, 0, std::move(reason));
@@ -138,9 +197,10 @@
                           }
                           std::vector<StoredValue> values;
                           for (const Json::Value &item : (*json)["kvs"]) {
-                              values.push_back(storedValueOf(item));
+                              values.push_back(etcdStoredValue(item));
                           }
-                          handler(std::move(values), integerOf((*json)["header"]["revision"]), {});
+                          handler(std::move(values), etcdInteger((*json)["header"]["revision"]),
+                                  {});
                       });
 }
 
@@ -148,46 +208,33 @@
                                const std::string &value, std::optional<LeaseId> lease,
                                WriteHandler handler)
 {
-    Json::Value compare(Json::objectValue);
-    compare["key"] = encodeBase64(key);
-    compare["target"] = "MOD";
-    compare["result"] = "EQUAL";
-    compare["mod_revision"] = std::to_string(expected);
     Json::Value put(Json::objectValue);
     put["request_put"]["key"] = encodeBase64(key);
     put["request_put"]["value"] = encodeBase64(value);
     if (lease) {
         put["request_put"]["lease"] = std::to_string(*lease);
     }
-    Json::Value body(Json::objectValue);
-    body["compare"].append(compare);
-    body["success"].append(put);
-    this->state->post(
-        "/v3/kv/txn", body, [key, handler = std::move(handler)](auto json, Reason reason) {
-            if (!json) {
-                handler(std::nullopt, std::move(reason));
-                return;
-            }
-            if (!(*json)["succeeded"].asBool()) {
-                handler(std::nullopt,
-                        {ResultCode::StoreConflict, key + " was changed by another writer"});
-                return;
-            }
-            handler(integerOf((*json)["header"]["revision"]), {});
-        });
+    this->state->transact(key, expected, put, std::move(handler));
+}
+
+void EtcdStore::remove(const std::string &key, std::int64_t expected, WriteHandler handler)
+{
+    Json::Value removal(Json::objectValue);
+    removal["request_delete_range"]["key"] = encodeBase64(key);
+    this->state->transact(key, expected, removal, std::move(handler));
 }
 
 void EtcdStore::grantLease(std::chrono::seconds duration, LeaseHandler handler)
 {
     Json::Value body(Json::objectValue);
     body["TTL"] = std::to_string(duration.count());
-    this->state->post("/v3/lease/grant", body,
+    this->state->post("/v3/lease/grant", body, CallKind::Write,
                       [handler = std::move(handler)](auto json, Reason reason) {
                           if (!json) {
                               handler(std::nullopt, std::move(reason));
                               return;
                           }
-                          handler(integerOf((*json)["ID"]), {});
+                          handler(etcdInteger((*json)["ID"]), {});
                       });
 }
 
@@ -195,7 +242,7 @@
 {
     Json::Value body(Json::objectValue);
     body["ID"] = std::to_string(lease);
-    this->state->post("/v3/lease/keepalive", body,
+    this->state->post("/v3/lease/keepalive", body, CallKind::Write,
                       [lease, handler = std::move(handler)](auto json, Reason reason) {
                           if (!json) {
                               handler(std::nullopt, std::move(reason));
@@ -203,7 +250,7 @@
                           }
                           // The gateway wraps answers of streaming calls in "result"; a lapsed
                           // lease is answered with no TTL.
-                          if (integerOf((*json)["result"]["TTL"]) <= 0) {
+                          if (etcdInteger((*json)["result"]["TTL"]) <= 0) {
                               handler(
                                   std::nullopt,
                                   {ResultCode::StoreLeaseLapsed, "lease " + std::to_string(lease)});
@@ -220,42 +267,42 @@
     body["create_request"]["key"] = encodeBase64(prefix);
     body["create_request"]["range_end"] = encodeBase64(endOfPrefix(prefix));
     body["create_request"]["start_revision"] = std::to_string(fromRevision);
-    auto pending = std::make_shared<std::string>();
+    auto stream = std::make_shared<EtcdWatch>(std::move(handler));
+    auto id = std::make_shared<WatchId>(0);
     net::HttpCall call{.method = "POST",
                        .url = this->state->url("/v3/watch"),
                        .headers = {{"Content-Type", "application/json"}},
                        .body = settings::jsonText(body),
                        .timeout = kWatchTimeout};
-    call.onData = [pending, handler](std::string_view piece) {
-        pending->append(piece);
-        for (auto end = pending->find('\n'); end != std::string::npos; end = pending->find('\n')) {
-            Reason reason;
-            const auto json = settings::parseJson(pending->substr(0, end), "watch event", reason);
-            pending->erase(0, end + 1);
-            std::vector<StoredValue> events;
-            for (const Json::Value &event : json ? (*json)["result"]["events"] : Json::Value()) {
-                events.push_back(storedValueOf(event["kv"]));
-                events.back().removed = event["type"].asString() == "DELETE";
-            }
-            if (!events.empty()) {
-                handler(events, {});
-            }
+    call.onData = [this, stream, id](std::string_view piece) {
+        stream->take(piece);
+        // The gateway keeps the connection of a cancelled watch open.
+        if (stream->hasEnded()) {
+            this->cancelWatch(*id);
         }
     };
-    return this->state->client.send(std::move(call),
-                                    [this, handler](const net::HttpResult &result) {
-                                        this->state->nextGateway = (this->state->nextGateway + 1)
-                                            % this->state->gateways.size();
-                                        Reason reason = result.reason;
-                                        if (reason.code == ResultCode::Ok) {
-                                            reason = {ResultCode::StoreUnreachable, "watch ended"};
-                                        }
-                                        handler({}, reason);
-                                    });
+    *id = this->state->client.send(
+        std::move(call),
+        [this, stream, id, gateway = this->state->nextGateway](const net::HttpResult &result) {
+            this->state->watches.erase(*id);
+            if (result.reason.code != ResultCode::Ok || result.answer.status != kHttpOk) {
+                this->state->passOver(gateway);
+            }
+            stream->end(failureOf(result, CallKind::Read));
+        });
+    this->state->watches[*id] = stream;
+    return *id;
 }
 
 void EtcdStore::cancelWatch(WatchId id)
 {
+    const auto found = this->state->watches.find(id);
+    if (found == this->state->watches.end()) {
+        return;
+    }
+    // Pieces that have arrived already may still wait on the event loop.
+    found->second->silence();
+    this->state->watches.erase(found);
     this->state->client.cancel(id);
 }
 }
--- a/tools/standins/storestandin.h
+++ b/tools/standins/storestandin.h
@@ -2,22 +2,15 @@
 
 #include "net/types/endpoint.h"
 
+#include <chrono>
 #include <cstdint>
-#include <map>
 #include <memory>
-#include <mutex>
 #include <string>
 
-#include <json/value.h>
-
-namespace radishladder::net {
-class IHttpServer;
-}
-
 namespace radishladder::standins {
 
 //! Small stand-in of the platform's store: the part of the etcd v3 JSON gateway that the system
-//! uses.
+//! uses, with faults that can be switched on. A watch ends after its first events.
 class StoreStandin
 {
 public:
@@ -30,25 +23,40 @@
     //! Writes without a call, as the platform itself does.
     void put(const std::string &key, const std::string &value);
 
-    //! Calls received so far.
+    //! Calls received so far; a waiting watch counts as one.
     std::uint64_t calls() const;
 
+    //! Revision of the last change.
+    std::int64_t revision() const;
+
+    //! Closes connections unanswered and runs nothing.
+    void setDown(bool down);
+
+    //! Answers after \a delay; writes take effect at once.
+    void setDelay(std::chrono::milliseconds delay);
+
+    //! Writes take effect and their connections are closed unanswered.
+    void setLoseAnswers(bool lose);
+
+    //! The same for the next write only.
+    void loseNextAnswer();
+
+    //! Ends all leases as if they had not been kept alive.
+    void lapseLeases();
+
+    //! Answers reads as of \a revision until serveCurrent().
+    void serveStale(std::int64_t revision);
+    void serveCurrent();
+
+    //! Closes connections from \a address unanswered, as a network partition would.
+    void refuseFrom(std::uint32_t address);
+    void acceptFrom(std::uint32_t address);
+
+    //! Watches from before \a revision are refused.
+    void compact(std::int64_t revision);
+
 private:
-    struct Entry
-    {
-        std::string value;
-        std::int64_t revision = 0;
-    };
-
-    Json::Value answer(const std::string &path, const Json::Value &body);
-    Json::Value range(const Json::Value &body) const;
-    Json::Value transaction(const Json::Value &body);
-    Json::Value header() const;
-
-    mutable std::mutex mutex;
-    std::map<std::string, Entry> entries;
-    std::int64_t revision = 1;
-    std::uint64_t callCount = 0;
-    std::unique_ptr<net::IHttpServer> server;
+    struct State;
+    std::unique_ptr<State> state;
 };
 }
