Apply only the services that a change touches

Change: the codec keeps decoded services by digest, duplicates are found by a typed check, the placement skips services that did not change. Ruled out: parsing in another thread, which costs the same core time.

--- a/src/placement/epochplacement.h
+++ b/src/placement/epochplacement.h
@@ -67,6 +67,8 @@
     struct State;
 
     void applyConfiguration(const settings::Configuration &configuration);
+    void dropService(ServiceIndex index);
+    void applyService(ServiceIndex index, const settings::Service &service);
     void applyDocument(const std::string &key, const std::string &value);
     void applyMark(const std::string &factKey);
     bool isUsable(const UpstreamEntry &entry) const;
--- a/src/placement/internal/epochplacement.cpp
+++ b/src/placement/internal/epochplacement.cpp
@@ -44,6 +44,9 @@
 {
     settings::Service description;
     bool configured = false;
+
+    //! Named by the configuration that is being applied.
+    bool listed = false;
     ServiceTables tables;
     std::chrono::steady_clock::time_point oldestUsedAt{};
     std::uint64_t releasedEpoch = 0;
@@ -75,6 +78,7 @@
     //! Configured upstreams that take no new flows now.
     std::set<UpstreamIndex> unusable;
     std::set<UpstreamIndex> ownMarks;
+    std::set<DataCentreName> dataCentresOut;
     RecordCounts records;
     TimePoint lastTick{};
 
@@ -148,40 +152,72 @@
             out.insert(dataCentre.name);
         }
     }
+    const bool isOutChanged = out != state.dataCentresOut;
+    state.dataCentresOut = std::move(out);
     for (const auto &service : state.services) {
-        service->configured = false;
-    }
-    for (UpstreamEntry &entry : state.entries) {
-        entry.configured = false;
-        entry.dataCentreOut = out.contains(entry.upstream.dataCentre);
+        service->listed = false;
     }
-    state.servicesByAddress.clear();
-    state.entriesByName.clear();
-    state.unusable.clear();
     for (const settings::Service &service : configuration.services) {
         const ServiceIndex index = state.serviceIndex(service.name);
-        state.services[index]->description = service;
-        state.services[index]->configured = true;
-        state.servicesByAddress[{service.address, static_cast<std::uint8_t>(service.protocol)}] =
-            index;
-        for (const settings::Upstream &upstream : service.upstreams) {
-            const UpstreamIndex upstreamIndex = state.upstreamIndex(wireIdOf(upstream));
-            UpstreamEntry &entry = state.entries[upstreamIndex];
-            entry.upstream = upstream;
-            entry.service = index;
-            entry.configured = true;
-            entry.dataCentreOut = out.contains(upstream.dataCentre);
-            state.entriesByName[upstream.name] = upstreamIndex;
-            this->updateUsable(upstreamIndex);
+        ServiceState &held = *state.services[index];
+        held.listed = true;
+        if (isOutChanged || !held.configured || held.description != service) {
+            this->dropService(index);
+            this->applyService(index, service);
         }
     }
-    for (const auto &service : state.services) {
-        service->tables.resolveAgain(
-            [&state](std::uint64_t wireId) { return state.resolve(wireId); });
+    for (ServiceIndex index = 0; index < state.services.size(); ++index) {
+        if (!state.services[index]->listed) {
+            this->dropService(index);
+        }
     }
     this->updateOwnMarks();
 }
 
+void EpochPlacement::dropService(ServiceIndex index)
+{
+    State &state = *this->state;
+    ServiceState &service = *state.services[index];
+    service.configured = false;
+    const settings::Service &old = service.description;
+    const auto address =
+        state.servicesByAddress.find({old.address, static_cast<std::uint8_t>(old.protocol)});
+    if (address != state.servicesByAddress.end() && address->second == index) {
+        state.servicesByAddress.erase(address);
+    }
+    for (const settings::Upstream &upstream : old.upstreams) {
+        const UpstreamIndex upstreamIndex = state.resolve(wireIdOf(upstream));
+        UpstreamEntry &entry = state.entries[upstreamIndex];
+        entry.configured = false;
+        entry.dataCentreOut = state.dataCentresOut.contains(entry.upstream.dataCentre);
+        state.unusable.erase(upstreamIndex);
+        const auto named = state.entriesByName.find(upstream.name);
+        if (named != state.entriesByName.end() && named->second == upstreamIndex) {
+            state.entriesByName.erase(named);
+        }
+    }
+}
+
+void EpochPlacement::applyService(ServiceIndex index, const settings::Service &service)
+{
+    State &state = *this->state;
+    ServiceState &held = *state.services[index];
+    held.description = service;
+    held.configured = true;
+    state.servicesByAddress[{service.address, static_cast<std::uint8_t>(service.protocol)}] = index;
+    for (const settings::Upstream &upstream : service.upstreams) {
+        const UpstreamIndex upstreamIndex = state.upstreamIndex(wireIdOf(upstream));
+        UpstreamEntry &entry = state.entries[upstreamIndex];
+        entry.upstream = upstream;
+        entry.service = index;
+        entry.configured = true;
+        entry.dataCentreOut = state.dataCentresOut.contains(upstream.dataCentre);
+        state.entriesByName[upstream.name] = upstreamIndex;
+        this->updateUsable(upstreamIndex);
+    }
+    held.tables.resolveAgain([&state](std::uint64_t wireId) { return state.resolve(wireId); });
+}
+
 void EpochPlacement::applyDocument(const std::string &key, const std::string &value)
 {
     State &state = *this->state;
@@ -204,6 +240,7 @@
                 .name = member.name, .dataCentre = member.dataCentre, .tunnel = member.tunnel};
             entry.service = index;
             entry.configured = false;
+            entry.dataCentreOut = state.dataCentresOut.contains(member.dataCentre);
         }
     }
     const bool isTaken = service.tables.accept(
--- a/src/settings/configurationcodec.h
+++ b/src/settings/configurationcodec.h
@@ -1,16 +1,21 @@
 #pragma once
 
+#include "global/name.h"
 #include "global/reason.h"
 
 #include <functional>
 #include <json/value.h>
+#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace radishladder::settings {
 struct Configuration;
+struct DataCentre;
 struct EncodedConfiguration;
+struct Service;
 
 //! Splits a configuration into a head, groups of services and one part a service, so that a change
 //! rewrites only the head, one group and the services it touches.
@@ -34,8 +39,15 @@
 
 private:
     std::optional<Json::Value> readPart(const std::string &digest, const FindPart &findPart);
-    bool readServices(const Json::Value &groups, const FindPart &findPart, Json::Value &services);
-
+    std::shared_ptr<const Service> readService(const std::string &digest, const FindPart &findPart,
+                                               const std::vector<DataCentre> &dataCentres);
+    bool readServices(const Json::Value &groups, const FindPart &findPart,
+                      Configuration &configuration);
+
+    //! Services of the last decoded configuration by digest, so that a change parses only what it
+    //! touches.
+    std::map<std::string, std::shared_ptr<const Service>> decoded;
+    std::vector<DataCentreName> dataCentres;
     Reason reason;
 };
 }
--- a/src/settings/configurationreader.h
+++ b/src/settings/configurationreader.h
@@ -15,6 +15,11 @@
     //! std::nullopt if a field is wrong (see lastReason()).
     std::optional<Configuration> read(const Json::Value &json);
 
+    //! One service whose upstreams are in \a dataCentres; std::nullopt if a field is wrong (see
+    //! lastReason()).
+    std::optional<Service> readService(const Json::Value &json,
+                                       const std::vector<DataCentre> &dataCentres);
+
     const Reason &lastReason() const { return this->reason; }
 
 private:
--- /dev/null
+++ b/src/settings/duplicatecheck.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "global/reason.h"
+
+#include <optional>
+
+namespace radishladder::settings {
+struct Configuration;
+
+//! First name or address that two services or upstreams of \a configuration share; std::nullopt if
+//! there is none.
+std::optional<Reason> findDuplicate(const Configuration &configuration);
+}
--- a/src/settings/internal/configurationcodec.cpp
+++ b/src/settings/internal/configurationcodec.cpp
@@ -2,7 +2,9 @@
 
 #include "global/hash.h"
 #include "settings/configurationreader.h"
+#include "settings/duplicatecheck.h"
 #include "settings/jsonfile.h"
+#include "settings/types/configuration.h"
 #include "settings/types/encodedconfiguration.h"
 
 #include <map>
@@ -93,22 +95,43 @@
     return parseJson(*text, "part " + digest, this->reason);
 }
 
+std::shared_ptr<const Service> ConfigurationCodec::readService(
+    const std::string &digest, const FindPart &findPart, const std::vector<DataCentre> &dataCentres)
+{
+    const auto known = this->decoded.find(digest);
+    if (known != this->decoded.end()) {
+        return known->second;
+    }
+    const auto part = this->readPart(digest, findPart);
+    if (!part) {
+        return nullptr;
+    }
+    ConfigurationReader reader;
+    auto service = reader.readService(*part, dataCentres);
+    this->reason = reader.lastReason();
+    return service ? std::make_shared<const Service>(std::move(*service)) : nullptr;
+}
+
 bool ConfigurationCodec::readServices(const Json::Value &groups, const FindPart &findPart,
-                                      Json::Value &services)
+                                      Configuration &configuration)
 {
+    std::map<std::string, std::shared_ptr<const Service>> services;
     for (const Json::Value &groupDigest : groups) {
         const auto group = this->readPart(groupDigest.asString(), findPart);
         if (!group) {
             return false;
         }
-        for (const Json::Value &serviceDigest : *group) {
-            const auto service = this->readPart(serviceDigest.asString(), findPart);
+        for (const Json::Value &digest : *group) {
+            auto service =
+                this->readService(digest.asString(), findPart, configuration.dataCentres);
             if (!service) {
                 return false;
             }
-            services.append(*service);
+            configuration.services.push_back(*service);
+            services[digest.asString()] = std::move(service);
         }
     }
+    this->decoded = std::move(services);
     return true;
 }
 
@@ -124,15 +147,31 @@
         this->reason = {ResultCode::FieldType, "configuration head: /groups is not an array"};
         return std::nullopt;
     }
-    Json::Value services(Json::arrayValue);
-    if (!this->readServices((*json)["groups"], findPart, services)) {
-        return std::nullopt;
-    }
+    const Json::Value groups = (*json)["groups"];
     json->removeMember("groups");
-    (*json)["services"] = services;
+    (*json)["services"] = Json::Value(Json::arrayValue);
     ConfigurationReader reader;
     auto configuration = reader.read(*json);
-    this->reason = reader.lastReason();
+    if (!configuration) {
+        this->reason = reader.lastReason();
+        return std::nullopt;
+    }
+    // A data centre that was renamed or dropped invalidates services that were decoded before.
+    std::vector<DataCentreName> names;
+    for (const DataCentre &dataCentre : configuration->dataCentres) {
+        names.push_back(dataCentre.name);
+    }
+    if (names != this->dataCentres) {
+        this->decoded.clear();
+        this->dataCentres = std::move(names);
+    }
+    if (!this->readServices(groups, findPart, *configuration)) {
+        return std::nullopt;
+    }
+    if (auto duplicate = findDuplicate(*configuration)) {
+        this->reason = std::move(*duplicate);
+        return std::nullopt;
+    }
     return configuration;
 }
 }
--- a/src/settings/internal/configurationreader.cpp
+++ b/src/settings/internal/configurationreader.cpp
@@ -82,7 +82,7 @@
     return text == "udp" ? Protocol::Udp : Protocol::Tcp;
 }
 
-Service readService(FieldReader &reader, Uniqueness &unique, Reason &reason)
+Service readServiceFields(FieldReader &reader, Uniqueness &unique, Reason &reason)
 {
     Service service;
     service.name = ServiceName(reader.text("name"));
@@ -167,7 +167,7 @@
     const Json::Value &services = reader.array("services", true);
     for (Json::ArrayIndex i = 0; i < services.size() && reader.isOk(); ++i) {
         FieldReader item(services[i], itemPath("services", i, services[i]), this->reason);
-        configuration.services.push_back(readService(item, unique, this->reason));
+        configuration.services.push_back(readServiceFields(item, unique, this->reason));
     }
     reader.rejectUnknownFields();
     if (!reader.isOk()) {
@@ -176,6 +176,19 @@
     return configuration;
 }
 
+std::optional<Service> ConfigurationReader::readService(const Json::Value &json,
+                                                        const std::vector<DataCentre> &dataCentres)
+{
+    this->reason = {};
+    Uniqueness unique;
+    for (const DataCentre &dataCentre : dataCentres) {
+        unique.dataCentres.insert(dataCentre.name);
+    }
+    FieldReader reader(json, itemPath("services", 0, json), this->reason);
+    Service service = readServiceFields(reader, unique, this->reason);
+    return reader.isOk() ? std::make_optional(std::move(service)) : std::nullopt;
+}
+
 Json::Value configurationJson(const Configuration &configuration)
 {
     Json::Value json(Json::objectValue);
