--- /dev/null
+++ b/src/membership/internal/factsmessage.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+namespace radishladder::membership {
+
+//! One fact of a VM, or that it was withdrawn.
+struct FactEntry
+{
+    std::string key;
+    std::uint64_t version = 0;
+    bool isPresent = false;
+    std::vector<std::uint8_t> value;
+
+    MSGPACK_DEFINE_ARRAY(key, version, isPresent, value)
+};
+
+//! Up to which version all facts of a VM's process are known.
+struct FactDigest
+{
+    std::string origin;
+    std::uint64_t start = 0;
+    std::uint64_t version = 0;
+
+    MSGPACK_DEFINE_ARRAY(origin, start, version)
+};
+
+//! Brings whoever knows the facts of \a origin up to \a after forward to \a upTo.
+struct FactDelta
+{
+    std::string origin;
+    std::uint64_t start = 0;
+    std::uint64_t after = 0;
+    std::uint64_t upTo = 0;
+    std::vector<FactEntry> entries;
+
+    MSGPACK_DEFINE_ARRAY(origin, start, after, upTo, entries)
+};
+
+//! Attachment of heartbeats and payload of MessageKind::Facts. New fields are appended.
+struct FactsMessage
+{
+    //! Hash over everything that the sender knows.
+    std::uint32_t summary = 0;
+
+    //! Low bits of the start of the receiver's process, and up to which version the sender knows
+    //! its facts.
+    std::uint32_t acknowledgedStart = 0;
+    std::uint64_t acknowledgedVersion = 0;
+
+    //! The receiver shall acknowledge at once.
+    bool wantsAnswer = false;
+
+    //! In answers to heartbeats: what the sender knows. In Facts: what the sender lacks.
+    std::vector<FactDigest> digests;
+    bool isDigestWhole = false;
+    std::vector<FactDelta> deltas;
+
+    MSGPACK_DEFINE_ARRAY(summary, acknowledgedStart, acknowledgedVersion, wantsAnswer, digests,
+                         isDigestWhole, deltas)
+};
+}
--- /dev/null
+++ b/src/membership/internal/sharedfactsexchange.cpp
@@ -0,0 +1,289 @@
+#include "membership/sharedfacts.h"
+
+#include "global/iclock.h"
+#include "membership/internal/messagecodec.h"
+#include "membership/internal/sharedfactsstate.h"
+#include "membership/types/member.h"
+#include "telemetry/icounter.h"
+
+#include <algorithm>
+
+namespace radishladder::membership {
+namespace {
+constexpr std::size_t kDigestsInMessage = 24;
+constexpr std::size_t kMessageOverheadBytes = 32;
+constexpr std::chrono::milliseconds kPushInterval{300};
+constexpr double kPushBytesPerSecond = 500;
+constexpr double kPushBurstBytes = 4000;
+
+bool isReachable(const Member &member)
+{
+    return member.state != MemberState::Dead;
+}
+}
+
+std::vector<std::uint8_t> SharedFacts::attachment(const VmName &to, bool isAnswer,
+                                                  std::size_t maxBytes)
+{
+    FactsMessage message = this->state->message(to);
+    if (isAnswer && this->state->peer(to).differs) {
+        message.digests = this->state->digests(message.isDigestWhole);
+    }
+    message.deltas = this->state->takeRumours(maxBytes);
+    return encodeMessage(message);
+}
+
+void SharedFacts::receive(const VmName &from, bool isAnswer, std::span<const std::uint8_t> bytes)
+{
+    const auto message = this->state->decode(from, bytes);
+    if (!message) {
+        return;
+    }
+    State::Peer &peer = this->state->peer(from);
+    peer.differs = message->summary != this->state->summary;
+    if (!isAnswer) {
+        return;
+    }
+    peer.isCaughtUp = !peer.differs;
+    peer.target = message->digests;
+    peer.isTargetWhole = message->isDigestWhole;
+    if (peer.differs) {
+        this->state->reconcile(from, message->digests, message->isDigestWhole);
+    }
+}
+
+std::optional<FactsMessage> SharedFacts::State::decode(const VmName &from,
+                                                       std::span<const std::uint8_t> bytes)
+{
+    auto message = decodeMessage<FactsMessage>(bytes);
+    if (!message) {
+        this->malformed.add();
+        return std::nullopt;
+    }
+    for (const FactDelta &delta : message->deltas) {
+        this->apply(delta);
+    }
+    const FactLog &log = this->own();
+    const bool isForThisProcess =
+        message->acknowledgedStart == static_cast<std::uint32_t>(log.startOfProcess());
+    if (isForThisProcess && message->acknowledgedVersion <= log.knownUpTo()) {
+        Peer &peer = this->peer(from);
+        peer.acknowledgedVersion = std::max(peer.acknowledgedVersion, message->acknowledgedVersion);
+        peer.acknowledged.note(static_cast<std::int64_t>(peer.acknowledgedVersion),
+                               this->clock.now());
+    }
+    return message;
+}
+
+void SharedFacts::State::apply(const FactDelta &delta)
+{
+    const VmName origin(delta.origin);
+    if (origin == this->membership.self() || this->membership.find(origin) == nullptr) {
+        return;
+    }
+    FactLog &log = this->logs[origin];
+    if (delta.start < log.startOfProcess()) {
+        return;
+    }
+    const auto changed = [this, &origin](const std::string &key,
+                                         const std::optional<Value> &value) {
+        this->notify(origin, key, value);
+    };
+    this->toggleSummary(origin, log);
+    if (delta.start > log.startOfProcess()) {
+        const FactLog old = std::exchange(log, FactLog(delta.start, 0));
+        for (const auto &[key, entry] : old.entries()) {
+            if (entry.isPresent) {
+                changed(key, std::nullopt);
+            }
+        }
+    }
+    const std::uint64_t before = log.knownUpTo();
+    const bool isApplied = log.apply(delta, changed);
+    this->toggleSummary(origin, log);
+    if (isApplied) {
+        this->startRumour(origin, before);
+    }
+}
+
+void SharedFacts::State::receiveFacts(const VmName &from, std::span<const std::uint8_t> bytes)
+{
+    const auto request = this->decode(from, bytes);
+    if (!request) {
+        return;
+    }
+    FactsMessage answer = this->message(from);
+    std::size_t room = this->transport.maxPayloadBytes() - kMessageOverheadBytes;
+    for (const FactDigest &theirs : request->digests) {
+        const auto log = this->logs.find(VmName(theirs.origin));
+        if (log != this->logs.end()) {
+            this->addDelta(answer, room, log->first,
+                           theirs.start == log->second.startOfProcess() ? theirs.version : 0);
+        }
+    }
+    if (request->wantsAnswer || !answer.deltas.empty()) {
+        this->send(from, answer);
+    }
+}
+
+//! Asks \a with for what is missing here and sends what is missing there.
+void SharedFacts::State::reconcile(const VmName &with, const std::vector<FactDigest> &theirs,
+                                   bool isWhole)
+{
+    FactsMessage message = this->message(with);
+    std::size_t room = this->transport.maxPayloadBytes() - kMessageOverheadBytes;
+    std::map<VmName, FactDigest> byOrigin;
+    for (const FactDigest &digest : theirs) {
+        const VmName origin(digest.origin);
+        byOrigin[origin] = digest;
+        if (!this->covers(digest)) {
+            const FactLog &log = this->logs[origin];
+            message.digests.push_back({digest.origin, log.startOfProcess(), log.knownUpTo()});
+            room -= std::min(room, digest.origin.size() + kMessageOverheadBytes);
+        }
+    }
+    for (const auto &[origin, log] : this->logs) {
+        const auto known = byOrigin.find(origin);
+        if (known == byOrigin.end()) {
+            // Only a whole digest tells that the origin is unknown there.
+            if (isWhole) {
+                this->addDelta(message, room, origin, 0);
+            }
+            continue;
+        }
+        if (known->second.start > log.startOfProcess()) {
+            continue;
+        }
+        const bool isSameProcess = known->second.start == log.startOfProcess();
+        this->addDelta(message, room, origin, isSameProcess ? known->second.version : 0);
+    }
+    if (!message.digests.empty() || !message.deltas.empty()) {
+        this->send(with, message);
+    }
+}
+
+bool SharedFacts::State::covers(const FactDigest &digest) const
+{
+    const VmName origin(digest.origin);
+    if (this->membership.find(origin) == nullptr) {
+        return true;
+    }
+    const auto log = this->logs.find(origin);
+    if (log == this->logs.end()) {
+        return false;
+    }
+    const std::uint64_t start = log->second.startOfProcess();
+    return start != digest.start ? start > digest.start : log->second.knownUpTo() >= digest.version;
+}
+
+FactsMessage SharedFacts::State::message(const VmName &to)
+{
+    FactsMessage message{.summary = this->summary};
+    const auto log = this->logs.find(to);
+    if (log != this->logs.end()) {
+        message.acknowledgedStart = static_cast<std::uint32_t>(log->second.startOfProcess());
+        message.acknowledgedVersion = log->second.knownUpTo();
+    }
+    return message;
+}
+
+std::vector<FactDelta> SharedFacts::State::takeRumours(std::size_t maxBytes)
+{
+    std::vector<std::pair<VmName, Rumour *>> order;
+    for (auto &[origin, rumour] : this->rumours) {
+        order.emplace_back(origin, &rumour);
+    }
+    std::ranges::stable_sort(order, [](const auto &left, const auto &right) {
+        return left.second->remaining > right.second->remaining;
+    });
+    FactsMessage message;
+    std::size_t room = maxBytes - std::min(maxBytes, kMessageOverheadBytes);
+    for (auto &[origin, rumour] : order) {
+        const std::size_t before = message.deltas.size();
+        this->addDelta(message, room, origin, rumour->after);
+        if (message.deltas.size() == before) {
+            // It does not fit beside the fresher ones; digests repair it if it never does.
+            continue;
+        }
+        --rumour->remaining;
+    }
+    std::erase_if(this->rumours, [](const auto &item) { return item.second.remaining <= 0; });
+    return message.deltas;
+}
+
+std::vector<FactDigest> SharedFacts::State::digests(bool &isWhole)
+{
+    std::vector<FactDigest> digests;
+    for (const auto &[origin, log] : this->logs) {
+        digests.push_back({origin.str(), log.startOfProcess(), log.knownUpTo()});
+    }
+    isWhole = digests.size() <= kDigestsInMessage;
+    if (!isWhole) {
+        // A large fleet is compared in turns.
+        this->nextDigest %= digests.size();
+        std::ranges::rotate(digests,
+                            digests.begin() + static_cast<std::ptrdiff_t>(this->nextDigest));
+        digests.resize(kDigestsInMessage);
+        this->nextDigest += kDigestsInMessage;
+    }
+    return digests;
+}
+
+void SharedFacts::State::addDelta(FactsMessage &message, std::size_t &room, const VmName &origin,
+                                  std::uint64_t after) const
+{
+    const auto log = this->logs.find(origin);
+    if (log == this->logs.end()) {
+        return;
+    }
+    FactDelta delta = log->second.deltaAfter(origin.str(), after, room);
+    if (delta.upTo <= after) {
+        return;
+    }
+    const std::size_t bytes = encodeMessage(delta).size();
+    if (bytes > room) {
+        return;
+    }
+    room -= bytes;
+    message.deltas.push_back(std::move(delta));
+}
+
+std::size_t SharedFacts::State::send(const VmName &to, const FactsMessage &message)
+{
+    const auto bytes = encodeMessage(message);
+    this->transport.send(to, MessageKind::Facts, bytes);
+    return bytes.size();
+}
+
+void SharedFacts::State::push(TimePoint now)
+{
+    const std::chrono::duration<double> elapsed = now - this->lastTick.value_or(now);
+    this->pushBytes =
+        std::min(kPushBurstBytes, this->pushBytes + elapsed.count() * kPushBytesPerSecond);
+    if (!this->isPushPending || this->pushBytes <= 0) {
+        return;
+    }
+    this->isPushPending = false;
+    const FactLog &log = this->own();
+    for (const Member &member : this->membership.members()) {
+        if (member.name == this->membership.self() || !isReachable(member)) {
+            continue;
+        }
+        Peer &peer = this->peer(member.name);
+        if (peer.acknowledgedVersion >= log.knownUpTo()) {
+            continue;
+        }
+        this->isPushPending = true;
+        const bool isDue = !peer.pushedAt || now - *peer.pushedAt >= kPushInterval;
+        if (!isDue || this->pushBytes <= 0) {
+            continue;
+        }
+        peer.pushedAt = now;
+        FactsMessage message = this->message(member.name);
+        message.wantsAnswer = true;
+        std::size_t room = this->transport.maxPayloadBytes() - kMessageOverheadBytes;
+        this->addDelta(message, room, this->membership.self(), peer.acknowledgedVersion);
+        this->pushBytes -= static_cast<double>(this->send(member.name, message));
+    }
+}
+}
--- a/src/membership/types/messagekind.h
+++ b/src/membership/types/messagekind.h
@@ -9,6 +9,7 @@
     Heartbeat = 1,
     HeartbeatReply = 2,
     Facts = 3,
+    VmListSample = 4,
     FlowRecords = 20,
     FlowHints = 21,
     FlowPull = 22,
