Route contested flows by their home VM's record

A plain hash moves flows whenever the list of upstreams changes, and a relay for each packet doubles the traffic. FlowRouter forwards by the agreed table where no retained table disagrees, and asks the flow's home VM elsewhere: the home keeps a record of each new flow, an unrecorded flow is on the oldest table's upstream. Records go to the backup in batches within a byte budget; a VM that becomes home pulls them first.

--- a/src/flows/hashrouter.h
+++ b/src/flows/hashrouter.h
@@ -23,6 +23,8 @@
     PacketVerdict route(std::span<std::uint8_t> packet, PacketSource source,
                         std::chrono::steady_clock::time_point now) override;
     void tick(std::chrono::steady_clock::time_point now) override;
+    void prepareStop(std::chrono::steady_clock::time_point now) override;
+    bool isReadyToStop(std::chrono::steady_clock::time_point now) const override;
 
 private:
     void reload(const settings::Configuration &configuration);
--- a/src/flows/iflowrouter.h
+++ b/src/flows/iflowrouter.h
@@ -21,5 +21,11 @@
 
     //! Expires idle flows, sends batched records; call it about ten times a second.
     virtual void tick(std::chrono::steady_clock::time_point now) = 0;
+
+    //! Hands over what other VMs will need once this one is gone.
+    virtual void prepareStop(std::chrono::steady_clock::time_point now) = 0;
+
+    //! True when everything is handed over or its time is up.
+    virtual bool isReadyToStop(std::chrono::steady_clock::time_point now) const = 0;
 };
 }
--- a/src/flows/internal/hashrouter.cpp
+++ b/src/flows/internal/hashrouter.cpp
@@ -50,4 +50,11 @@
 }
 
 void HashRouter::tick(std::chrono::steady_clock::time_point) { }
+
+void HashRouter::prepareStop(std::chrono::steady_clock::time_point) { }
+
+bool HashRouter::isReadyToStop(std::chrono::steady_clock::time_point) const
+{
+    return true;
+}
 }
--- /dev/null
+++ b/src/flows/internal/homedirectory.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "flows/internal/flowrecord.h"
+#include "flows/types/flowoptions.h"
+#include "global/name.h"
+
+#include <array>
+#include <chrono>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace radishladder::membership {
+class IMembership;
+struct Member;
+}
+
+namespace radishladder::flows {
+
+//! Who is home of a key, and whether this VM knows enough to answer for it.
+struct HomeView
+{
+    //! Best ranked VMs, this one included.
+    std::array<PeerId, 4> ranks{kNoPeer, kNoPeer, kNoPeer, kNoPeer};
+
+    //! This VM ranks first.
+    bool isHome = false;
+
+    //! This VM is home and has taken over whatever its predecessor knew.
+    bool isSettled = false;
+
+    //! This VM was a settled home until a moment ago.
+    bool wasSettled = false;
+
+    //! VM to ask while this one is not settled.
+    PeerId ask = kNoPeer;
+};
+
+//! Follows who is home of each key that is in use.
+class HomeDirectory
+{
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    HomeDirectory(const membership::IMembership &membership, const FlowOptions &options);
+
+    //! Valid until the next call.
+    const HomeView &lookup(std::uint64_t key, TimePoint now);
+
+    //! Rankings may have changed.
+    void invalidate(TimePoint now);
+
+    //! \a peer has sent all records that this VM is home of.
+    void noteTakenOver(PeerId peer, TimePoint now);
+
+    //! VMs to pull records from; cleared by the call.
+    std::set<PeerId> takeWanted();
+
+    PeerId idOf(const VmName &name);
+    const VmName &nameOf(PeerId peer) const { return this->names[peer]; }
+
+    //! The VM, unless it is dead or unknown.
+    const membership::Member *reachable(PeerId peer) const;
+
+    //! All other VMs that are not dead.
+    std::vector<VmName> others() const;
+
+    //! This VM leaves and is nobody's home any more.
+    void leave(TimePoint now);
+
+private:
+    struct Entry
+    {
+        HomeView view;
+        std::uint64_t version = 0;
+        PeerId previous = kNoPeer;
+        TimePoint since{};
+        TimePoint lostAt{};
+    };
+
+    void rank(std::uint64_t key, Entry &entry, TimePoint now);
+    void settle(Entry &entry, TimePoint now);
+    bool isTakenOver(PeerId peer, TimePoint since);
+    bool isYoung(TimePoint now) const;
+
+    const membership::IMembership &membership;
+    FlowOptions options;
+    std::unordered_map<std::uint64_t, Entry> entries;
+    std::unordered_map<VmName, PeerId> ids;
+    std::vector<VmName> names;
+    std::vector<TimePoint> takenOverAt;
+    std::set<PeerId> wanted;
+    PeerId self;
+    std::uint64_t version = 1;
+    TimePoint startedAt{};
+    TimePoint changedAt{};
+    bool leaving = false;
+};
+}
