--- a/src/operations/adminserver.h
+++ b/src/operations/adminserver.h
@@ -8,6 +8,7 @@
 #include <memory>
 
 namespace radishladder::net {
+class IEventLoop;
 class IHttpResponder;
 class IHttpServer;
 struct HttpRequest;
@@ -17,6 +18,7 @@
 }
 
 namespace radishladder::operations {
+class AdminCalls;
 
 //! Health, readiness and metrics of one VM over HTTP.
 class AdminServer : public supervision::IComponent
@@ -27,6 +29,9 @@
                 std::function<bool()> isReady);
     ~AdminServer() override;
 
+    //! Hands all other paths to \a calls on \a loop; call it before start().
+    void serveCalls(AdminCalls &calls, net::IEventLoop &loop);
+
     std::string name() const override;
     bool start() override;
     void stop() override;
@@ -34,10 +39,13 @@
     Reason lastReason() const override;
 
 private:
-    void handle(const net::HttpRequest &request, net::IHttpResponder &responder) const;
+    void handle(const net::HttpRequest &request,
+                const std::shared_ptr<net::IHttpResponder> &responder) const;
 
     telemetry::IMetrics &metrics;
     std::function<bool()> isReady;
+    AdminCalls *calls = nullptr;
+    net::IEventLoop *loop = nullptr;
     std::unique_ptr<net::IHttpServer> server;
 };
 }
--- a/src/operations/internal/adminserver.cpp
+++ b/src/operations/internal/adminserver.cpp
@@ -1,9 +1,11 @@
 #include "operations/adminserver.h"
 
+#include "net/ieventloop.h"
 #include "net/ihttpresponder.h"
 #include "net/pistachehttpserver.h"
 #include "net/types/httpanswer.h"
 #include "net/types/httprequest.h"
+#include "operations/admincalls.h"
 #include "telemetry/imetrics.h"
 
 namespace radishladder::operations {
@@ -24,7 +26,7 @@
 bool AdminServer::start()
 {
     return this->server->start([this](const net::HttpRequest &request, const auto &responder) {
-        this->handle(request, *responder);
+        this->handle(request, responder);
     });
 }
 
@@ -43,18 +45,29 @@
     return this->server->lastReason();
 }
 
-void AdminServer::handle(const net::HttpRequest &request, net::IHttpResponder &responder) const
+void AdminServer::serveCalls(AdminCalls &served, net::IEventLoop &onLoop)
+{
+    this->calls = &served;
+    this->loop = &onLoop;
+}
+
+void AdminServer::handle(const net::HttpRequest &request,
+                         const std::shared_ptr<net::IHttpResponder> &responder) const
 {
     if (request.path == "/health") {
-        responder.answer({.body = "alive\n"});
+        responder->answer({.body = "alive\n"});
     } else if (request.path == "/ready") {
         const bool ready = this->isReady();
-        responder.answer({.status = ready ? 200 : 503, .body = ready ? "ready\n" : "not ready\n"});
+        responder->answer({.status = ready ? 200 : 503, .body = ready ? "ready\n" : "not ready\n"});
     } else if (request.path == "/metrics") {
-        responder.answer({.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
-                          .body = this->metrics.exposition()});
+        responder->answer({.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
+                           .body = this->metrics.exposition()});
+    } else if (this->calls != nullptr) {
+        this->loop->post([calls = this->calls, request, responder] {
+            responder->answer(calls->answer(request));
+        });
     } else {
-        responder.answer({.status = 404, .body = "unknown path\n"});
+        responder->answer({.status = 404, .body = "unknown path\n"});
     }
 }
 }
--- a/src/settings/fieldreader.h
+++ b/src/settings/fieldreader.h
@@ -18,6 +18,8 @@
     FieldReader(const Json::Value &object, std::string path, Reason &reason);
 
     std::string text(const std::string &field);
+    //! As text(), but an empty string is allowed.
+    std::string emptyableText(const std::string &field);
     std::string textOr(const std::string &field, const std::string &fallback);
     std::int64_t integer(const std::string &field, std::int64_t least, std::int64_t most);
     std::int64_t integerOr(const std::string &field, std::int64_t least, std::int64_t most,
--- a/src/settings/internal/fieldreader.cpp
+++ b/src/settings/internal/fieldreader.cpp
@@ -10,6 +10,15 @@
 }
 
 std::string FieldReader::text(const std::string &field)
+{
+    std::string value = this->emptyableText(field);
+    if (value.empty()) {
+        this->fail(ResultCode::FieldRange, field, "is empty");
+    }
+    return value;
+}
+
+std::string FieldReader::emptyableText(const std::string &field)
 {
     const Json::Value *value = this->find(field, true);
     if (value == nullptr) {
@@ -19,9 +28,6 @@
         this->fail(ResultCode::FieldType, field, "is not a string");
         return {};
     }
-    if (value->asString().empty()) {
-        this->fail(ResultCode::FieldRange, field, "is empty");
-    }
     return value->asString();
 }
 
