--- a/src/operations/rpc/rpcclient.h
+++ b/src/operations/rpc/rpcclient.h
@@ -5,7 +5,8 @@
 
 #include <json/value.h>
 
-namespace radishladder::operations {
+namespace radishladder {
+namespace operations {
 
 //! Calls methods of one VM over JSON-RPC 2.0; blocks. Compiled as C++14, which the library's client
 //! headers need.
@@ -24,3 +25,4 @@
     std::chrono::milliseconds timeout;
 };
 }
+}
--- a/src/operations/tests/callcodectest.cpp
+++ b/src/operations/tests/callcodectest.cpp
@@ -15,15 +15,16 @@
     cr_assert(rc::check([](std::int64_t us, std::uint32_t counter) {
         const auto text = [] { return *rc::gen::string<std::string>(); };
         const auto code = resultCodes()[*rc::gen::inRange<std::size_t>(0, resultCodes().size())];
-        const telemetry::Event event{
-            .time = {std::chrono::sys_time(std::chrono::microseconds(us)), counter},
-            .vm = VmName(text()),
-            .dataCentre = DataCentreName(text()),
-            .kind = text(),
-            .service = ServiceName(text()),
-            .subject = text(),
-            .reason = code.code,
-            .detail = text()};
+        const telemetry::Event event{.time = {std::chrono::sys_time<std::chrono::microseconds>(
+                                                  std::chrono::microseconds(us)),
+                                              counter},
+                                     .vm = VmName(text()),
+                                     .dataCentre = DataCentreName(text()),
+                                     .kind = text(),
+                                     .service = ServiceName(text()),
+                                     .subject = text(),
+                                     .reason = code.code,
+                                     .detail = text()};
         Reason reason;
         const auto read = readEvent(eventJson(event), reason);
         RC_ASSERT(read.has_value());
--- /dev/null
+++ b/src/settings/internal/namedlist.cpp
@@ -0,0 +1,21 @@
+#include "settings/internal/namedlist.h"
+
+namespace radishladder::settings {
+std::string nameOf(const Json::Value &item)
+{
+    return item.isObject() && item["name"].isString() ? item["name"].asString() : std::string();
+}
+
+const Json::Value *findNamed(const Json::Value &list, const std::string &name)
+{
+    if (!list.isArray()) {
+        return nullptr;
+    }
+    for (const Json::Value &item : list) {
+        if (nameOf(item) == name) {
+            return &item;
+        }
+    }
+    return nullptr;
+}
+}
--- a/src/settings/internal/vmsettingsreader.cpp
+++ b/src/settings/internal/vmsettingsreader.cpp
@@ -8,6 +8,8 @@
 namespace radishladder::settings {
 namespace {
 constexpr std::size_t kPeerKeyDigits = 64;
+constexpr int kLastPort = 65535;
+constexpr int kDataPorts = 3;
 
 std::vector<net::Endpoint> readPlatform(FieldReader &reader)
 {
@@ -19,6 +21,9 @@
             reader.fail(ResultCode::FieldType, "platform", "holds no IPv4 address and port");
             break;
         }
+        if (std::ranges::find(endpoints, *endpoint) != endpoints.end()) {
+            reader.fail(ResultCode::DuplicateAddress, "platform", "holds an address twice");
+        }
         endpoints.push_back(*endpoint);
     }
     if (endpoints.empty()) {
@@ -86,12 +91,28 @@
     return keys;
 }
 
+void checkPorts(FieldReader &reader, const VmSettings &settings)
+{
+    const std::pair<const char *, net::Endpoint> endpoints[] = {{"data", settings.data},
+                                                                {"peer", settings.peer},
+                                                                {"requests", settings.requests},
+                                                                {"admin", settings.admin}};
+    for (const auto &[field, endpoint] : endpoints) {
+        if (endpoint.port == 0) {
+            reader.fail(ResultCode::FieldRange, field, "has port 0");
+        }
+    }
+    if (settings.data.port > kLastPort - (kDataPorts - 1)) {
+        reader.fail(ResultCode::FieldRange, "data", "needs three ports and leaves too few");
+    }
+}
+
 void checkDistinct(FieldReader &reader, const VmSettings &settings)
 {
     if (settings.requests == settings.admin) {
         reader.fail(ResultCode::DuplicateAddress, "admin", "is the same as requests");
     }
-    for (int offset = 0; offset < 3; ++offset) {
+    for (int offset = 0; offset < kDataPorts; ++offset) {
         const net::Endpoint used{settings.data.address,
                                  static_cast<std::uint16_t>(settings.data.port + offset)};
         if (used == settings.peer) {
@@ -124,6 +145,7 @@
     settings.flowMechanism = readFlowMechanism(reader);
     settings.requestMechanism = readRequestMechanism(reader);
     reader.rejectUnknownFields();
+    checkPorts(reader, settings);
     checkDistinct(reader, settings);
     if (!reader.isOk()) {
         this->reason.detail = path + ": " + this->reason.detail;
--- /dev/null
+++ b/src/settings/tests/overlaymergertest.cpp
@@ -0,0 +1,120 @@
+#include "settings/overlaymerger.h"
+#include "settings/jsonfile.h"
+#include "settings/types/overlay.h"
+
+#include <criterion/parameterized.h>
+
+using namespace radishladder;
+using namespace radishladder::settings;
+
+namespace {
+const char *const kBase = R"({
+    "dataCentres": [{"name": "obuda"}, {"name": "ujpest"}],
+    "services": [{"name": "portal", "upstreams": [
+        {"name": "o1", "dataCentre": "obuda", "weight": 100},
+        {"name": "u1", "dataCentre": "ujpest"}]}]})";
+
+Json::Value parsed(const std::string &text)
+{
+    Reason reason;
+    const auto json = parseJson(text, "test", reason);
+    cr_assert(json.has_value(), "%s", reason.detail.c_str());
+    return *json;
+}
+}
+
+struct MismatchCase
+{
+    char overlay[160];
+    ResultCode code;
+    char detail[120];
+};
+
+ParameterizedTestParameters(overlay, mismatches_name_file_and_path)
+{
+    static MismatchCase cases[] = {
+        {R"({"freeze": true})", ResultCode::FieldMissing, "o.json: /site is missing"},
+        {R"({"site": "buda"})", ResultCode::UnknownDataCentre,
+         "o.json: /site buda is no data centre of the base file"},
+        {R"({"site": "obuda", "generation": 9})", ResultCode::OverlayMismatch,
+         "o.json: /generation may not be set by an overlay"},
+        {R"({"site": "obuda", "freeze": false})", ResultCode::OverlayMismatch,
+         "o.json: /freeze can only be true in an overlay; leave it out to freeze nothing"},
+        {R"({"site": "obuda", "dataCentres": [{"name": "ujpest", "out": true}]})",
+         ResultCode::OverlayMismatch, "o.json: /dataCentres/ujpest is not the site obuda"},
+        {R"({"site": "obuda", "dataCentres": [{"name": "obuda", "remove": true}]})",
+         ResultCode::OverlayMismatch,
+         "o.json: /dataCentres/obuda/remove is allowed for upstreams only"},
+        {R"({"site": "obuda", "dataCentres": 7})", ResultCode::OverlayMismatch,
+         "o.json: /dataCentres is not an array"},
+        {R"({"site": "obuda", "services": [{"name": "other"}]})", ResultCode::OverlayMismatch,
+         "o.json: /services/other is no service of the base file"},
+        {R"({"site": "obuda", "services": [{"name": "portal", "port": 1}]})",
+         ResultCode::OverlayMismatch, "o.json: /services/portal/port may not be set by an overlay"},
+        {R"({"site": "obuda", "services": [{"name": "portal", "upstreams": [{"name": "u1", "drain": true}]}]})",
+         ResultCode::OverlayMismatch,
+         "o.json: /services/portal/upstreams/u1 is not an upstream of the site obuda"},
+        {R"({"site": "obuda", "services": [{"name": "portal", "upstreams": [{"name": "o1", "dataCentre": "ujpest"}]}]})",
+         ResultCode::OverlayMismatch,
+         "o.json: /services/portal/upstreams/o1/dataCentre is not the site obuda"},
+        {R"({"site": "obuda", "services": [{"name": "portal", "upstreams": [{"name": "o9"}]}]})",
+         ResultCode::OverlayMismatch,
+         "o.json: /services/portal/upstreams/o9/dataCentre is not the site obuda"},
+        {R"({"site": "obuda", "services": [{"name": "portal", "upstreams": [{"name": "o9", "remove": true}]}]})",
+         ResultCode::OverlayMismatch,
+         "o.json: /services/portal/upstreams/o9/remove names no upstream"},
+    };
+    return cr_make_param_array(MismatchCase, cases, sizeof(cases) / sizeof(MismatchCase));
+}
+
+ParameterizedTest(MismatchCase *row, overlay, mismatches_name_file_and_path)
+{
+    OverlayMerger merger;
+    cr_assert(!merger.merge(parsed(kBase), {{"o.json", parsed(row->overlay)}}).has_value());
+    cr_assert(merger.lastReason().code == row->code, "%s", merger.lastReason().detail.c_str());
+    cr_assert_str_eq(merger.lastReason().detail.c_str(), row->detail);
+}
+
+struct MergeCase
+{
+    char overlay[160];
+    char path[24];
+    char merged[160];
+};
+
+ParameterizedTestParameters(overlay, merge_rule)
+{
+    static MergeCase cases[] = {
+        {R"({"site": "obuda", "freeze": true})", "freeze", "true"},
+        {R"({"site": "obuda", "dataCentres": [{"name": "obuda", "out": true}]})", "dataCentres",
+         R"([{"name":"obuda","out":true},{"name":"ujpest"}])"},
+        {R"({"site": "obuda", "services": [{"name": "portal", "upstreams": [{"name": "o1", "weight": 7}]}]})",
+         "upstreams",
+         R"([{"dataCentre":"obuda","name":"o1","weight":7},{"dataCentre":"ujpest","name":"u1"}])"},
+        {R"({"site": "ujpest", "services": [{"name": "portal", "upstreams": [{"name": "u1", "remove": true}]}]})",
+         "upstreams", R"([{"dataCentre":"obuda","name":"o1","weight":100}])"},
+        {R"({"site": "ujpest", "services": [{"name": "portal", "upstreams": [{"name": "u2", "dataCentre": "ujpest"}]}]})",
+         "upstreams",
+         R"([{"dataCentre":"obuda","name":"o1","weight":100},{"dataCentre":"ujpest","name":"u1"},{"dataCentre":"ujpest","name":"u2"}])"},
+    };
+    return cr_make_param_array(MergeCase, cases, sizeof(cases) / sizeof(MergeCase));
+}
+
+ParameterizedTest(MergeCase *row, overlay, merge_rule)
+{
+    OverlayMerger merger;
+    const auto merged = merger.merge(parsed(kBase), {{"o.json", parsed(row->overlay)}});
+    cr_assert(merged.has_value(), "%s", merger.lastReason().detail.c_str());
+    const bool isUpstreams = std::string(row->path) == "upstreams";
+    const std::string text =
+        jsonText(isUpstreams ? (*merged)["services"][0]["upstreams"] : (*merged)[row->path]);
+    cr_assert_str_eq(text.c_str(), row->merged);
+}
+
+Test(overlay, one_overlay_a_site)
+{
+    OverlayMerger merger;
+    const Json::Value overlay = parsed(R"({"site": "obuda"})");
+    cr_assert(!merger.merge(parsed(kBase), {{"a.json", overlay}, {"b.json", overlay}}).has_value());
+    cr_assert(merger.lastReason().code == ResultCode::DuplicateName);
+}
--- a/src/store/etcdstore.h
+++ b/src/store/etcdstore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "store/iconfigstore.h"
+#include "store/ichangestore.h"
 
 #include "net/types/endpoint.h"
 
@@ -13,7 +13,7 @@
 namespace radishladder::store {
 
 //! The store behind the etcd v3 JSON gateway.
-class EtcdStore : public IConfigStore
+class EtcdStore : public IChangeStore
 {
 public:
     EtcdStore(net::IHttpClient &client, std::vector<net::Endpoint> gateways);
@@ -24,6 +24,8 @@
     void compareAndSwap(const std::string &key, std::int64_t expected, const std::string &value,
                         std::optional<LeaseId> lease, WriteHandler handler) override;
     void remove(const std::string &key, std::int64_t expected, WriteHandler handler) override;
+    void writeTogether(const std::string &key, std::int64_t expected,
+                       const std::vector<Write> &writes, WriteHandler handler) override;
     void grantLease(std::chrono::seconds duration, LeaseHandler handler) override;
     void keepLeaseAlive(LeaseId lease, LeaseHandler handler) override;
     WatchId watch(const std::string &prefix, std::int64_t fromRevision,
--- a/src/store/iconfigstore.h
+++ b/src/store/iconfigstore.h
@@ -44,9 +44,6 @@
                                 const std::string &value, std::optional<LeaseId> lease,
                                 WriteHandler handler) = 0;
 
-    //! Removes the key if its revision still is \a expected; reasons as for compareAndSwap().
-    virtual void remove(const std::string &key, std::int64_t expected, WriteHandler handler) = 0;
-
     virtual void grantLease(std::chrono::seconds duration, LeaseHandler handler) = 0;
     virtual void keepLeaseAlive(LeaseId lease, LeaseHandler handler) = 0;
 
--- a/src/store/internal/etcdstore.cpp
+++ b/src/store/internal/etcdstore.cpp
@@ -70,6 +70,14 @@
     compare["mod_revision"] = std::to_string(expected);
     return compare;
 }
+
+Json::Value putOperation(const std::string &key, const std::string &value)
+{
+    Json::Value put(Json::objectValue);
+    put["request_put"]["key"] = encodeBase64(key);
+    put["request_put"]["value"] = encodeBase64(value);
+    return put;
+}
 }
 
 struct EtcdStore::State
@@ -134,13 +142,13 @@
                           });
     }
 
-    //! Runs \a operation if the revision of \a key is \a expected.
-    void transact(const std::string &key, std::int64_t expected, const Json::Value &operation,
+    //! Runs \a operations together if the revision of \a key is \a expected.
+    void transact(const std::string &key, std::int64_t expected, const Json::Value &operations,
                   WriteHandler handler)
     {
         Json::Value body(Json::objectValue);
         body["compare"].append(compareRevision(key, expected));
-        body["success"].append(operation);
+        body["success"] = operations;
         this->post("/v3/kv/txn", body, CallKind::Write,
                    [key, handler = std::move(handler)](auto json, Reason reason) {
                        if (!json) {
@@ -208,20 +216,32 @@
                                const std::string &value, std::optional<LeaseId> lease,
                                WriteHandler handler)
 {
-    Json::Value put(Json::objectValue);
-    put["request_put"]["key"] = encodeBase64(key);
-    put["request_put"]["value"] = encodeBase64(value);
+    Json::Value put = putOperation(key, value);
     if (lease) {
         put["request_put"]["lease"] = std::to_string(*lease);
     }
-    this->state->transact(key, expected, put, std::move(handler));
+    Json::Value operations(Json::arrayValue);
+    operations.append(put);
+    this->state->transact(key, expected, operations, std::move(handler));
+}
+
+void EtcdStore::writeTogether(const std::string &key, std::int64_t expected,
+                              const std::vector<Write> &writes, WriteHandler handler)
+{
+    Json::Value operations(Json::arrayValue);
+    for (const auto &[name, value] : writes) {
+        operations.append(putOperation(name, value));
+    }
+    this->state->transact(key, expected, operations, std::move(handler));
 }
 
 void EtcdStore::remove(const std::string &key, std::int64_t expected, WriteHandler handler)
 {
     Json::Value removal(Json::objectValue);
     removal["request_delete_range"]["key"] = encodeBase64(key);
-    this->state->transact(key, expected, removal, std::move(handler));
+    Json::Value operations(Json::arrayValue);
+    operations.append(removal);
+    this->state->transact(key, expected, operations, std::move(handler));
 }
 
 void EtcdStore::grantLease(std::chrono::seconds duration, LeaseHandler handler)
--- a/tools/standins/storedata.cpp
+++ b/tools/standins/storedata.cpp
@@ -25,9 +25,15 @@
 }
 }
 
-void StoreData::put(const std::string &key, const std::string &value, std::int64_t lease)
+void StoreData::put(const std::string &key, const std::string &value)
 {
-    const Change change{key, value, ++this->revision, lease, false};
+    ++this->revision;
+    this->putAtRevision(key, value, 0);
+}
+
+void StoreData::putAtRevision(const std::string &key, const std::string &value, std::int64_t lease)
+{
+    const Change change{key, value, this->revision, lease, false};
     this->entries[key] = change;
     this->history.push_back(change);
 }
@@ -35,7 +41,7 @@
 void StoreData::remove(const std::string &key)
 {
     if (this->entries.erase(key) > 0) {
-        this->history.push_back({key, "", ++this->revision, 0, true});
+        this->history.push_back({key, "", this->revision, 0, true});
     }
 }
 
@@ -94,10 +100,12 @@
         const std::int64_t current = found == this->entries.end() ? 0 : found->second.revision;
         holds = holds && integerOf(compare["mod_revision"]) == current;
     }
+    this->revision += holds ? 1 : 0;
     for (const Json::Value &operation : holds ? body["success"] : Json::Value()) {
         if (operation.isMember("request_put")) {
             const Json::Value &put = operation["request_put"];
-            this->put(decoded(put["key"]), decoded(put["value"]), integerOf(put["lease"]));
+            this->putAtRevision(decoded(put["key"]), decoded(put["value"]),
+                                integerOf(put["lease"]));
         } else {
             this->remove(decoded(operation["request_delete_range"]["key"]));
         }
@@ -137,6 +145,7 @@
             bound.push_back(key);
         }
     }
+    this->revision += bound.empty() ? 0 : 1;
     for (const std::string &key : bound) {
         this->remove(key);
     }
--- a/tools/standins/storedata.h
+++ b/tools/standins/storedata.h
@@ -14,7 +14,7 @@
 class StoreData
 {
 public:
-    void put(const std::string &key, const std::string &value, std::int64_t lease = 0);
+    void put(const std::string &key, const std::string &value);
 
     //! Answer to a range request as of \a asOf, or of now.
     Json::Value range(const Json::Value &body, std::optional<std::int64_t> asOf) const;
@@ -50,6 +50,7 @@
     };
 
     std::map<std::string, Change> entriesAt(std::int64_t asOf) const;
+    void putAtRevision(const std::string &key, const std::string &value, std::int64_t lease);
     void remove(const std::string &key);
     Json::Value header(std::int64_t atRevision) const;
     static Json::Value item(const Change &change);
--- a/tools/standins/tests/storestandintest.cpp
+++ b/tools/standins/tests/storestandintest.cpp
@@ -106,6 +106,25 @@
     cr_assert(f.read("/a/1").code == ResultCode::StoreKeyMissing);
 }
 
+Test(storestandin, writes_together_share_a_revision_or_none_is_made)
+{
+    Fixture f;
+    std::vector<ResultCode> codes;
+    for (const std::int64_t expected : {7, 0}) {
+        f.store.writeTogether("/a/1", expected, {{"/a/1", "one"}, {"/b/1", "two"}},
+                              [&](auto, const Reason &reason) {
+                                  codes.push_back(reason.code);
+                                  f.loop.stop();
+                              });
+        f.loop.run();
+    }
+    cr_assert(codes == (std::vector{ResultCode::StoreConflict, ResultCode::Ok}));
+    f.read("/a/1");
+    const std::int64_t first = f.value->revision;
+    f.read("/b/1");
+    cr_assert(f.value && f.value->value == "two" && f.value->revision == first);
+}
+
 Test(storestandin, a_lost_answer_is_neither_success_nor_conflict)
 {
     Fixture f;
