Send HTTP calls from the address of the VM

Cause: HTTP calls of a daemon left from 127.0.0.1, so that no stand-in could tell which VM called and a partition between data centres could not cut requests, only datagrams. Change: CurlHttpClient takes an optional local address, HttpCall carries one, and the daemon calls from the address of its data port.

--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -39,7 +39,7 @@
     telemetry::PrometheusMetrics metrics;
     telemetry::TimeLine timeLine{this->clock, this->settings.name, this->settings.dataCentre};
     settings::ConfigurationHolder configuration;
-    net::CurlHttpClient client{this->loop};
+    net::CurlHttpClient client{this->loop, this->settings.data.address};
     store::EtcdStore store{this->client, this->settings.platform};
     operations::ConfigurationFollower follower{this->store, this->configuration, this->timeLine};
     flows::HashRouter router{this->configuration};
--- a/src/framework/net/curlhttpclient.h
+++ b/src/framework/net/curlhttpclient.h
@@ -11,7 +11,8 @@
 class CurlHttpClient : public IHttpClient
 {
 public:
-    explicit CurlHttpClient(IEventLoop &loop);
+    //! Sends every call that names no address of its own from \a localAddress, unless that is 0.
+    explicit CurlHttpClient(IEventLoop &loop, std::uint32_t localAddress = 0);
     ~CurlHttpClient() override;
 
     CallId send(HttpCall call, Handler handler) override;
--- a/src/framework/net/internal/curlhttpclient.cpp
+++ b/src/framework/net/internal/curlhttpclient.cpp
@@ -17,13 +17,14 @@
 
 struct CurlHttpClient::State
 {
-    explicit State(IEventLoop &loop) : loop(loop) { }
+    State(IEventLoop &loop, std::uint32_t localAddress) : loop(loop), localAddress(localAddress) { }
 
     void run();
     void takeWaiting();
     void reportFinished();
 
     IEventLoop &loop;
+    std::uint32_t localAddress = 0;
     CURLM *multi = nullptr;
     std::atomic<bool> stopping = false;
     std::atomic<CallId> lastId = 0;
@@ -83,7 +84,8 @@
     }
 }
 
-CurlHttpClient::CurlHttpClient(IEventLoop &loop) : state(std::make_unique<State>(loop))
+CurlHttpClient::CurlHttpClient(IEventLoop &loop, std::uint32_t localAddress)
+    : state(std::make_unique<State>(loop, localAddress))
 {
     curl_global_init(CURL_GLOBAL_DEFAULT);
     this->state->multi = curl_multi_init();
@@ -106,6 +108,9 @@
 IHttpClient::CallId CurlHttpClient::send(HttpCall call, Handler handler)
 {
     const CallId id = ++this->state->lastId;
+    if (call.localAddress == 0) {
+        call.localAddress = this->state->localAddress;
+    }
     auto transfer =
         std::make_unique<CurlTransfer>(id, std::move(call), std::move(handler), this->state->loop);
     {
--- a/src/framework/net/internal/curltransfer.cpp
+++ b/src/framework/net/internal/curltransfer.cpp
@@ -1,6 +1,7 @@
 #include "net/internal/curltransfer.h"
 
 #include "net/ieventloop.h"
+#include "net/types/endpoint.h"
 
 #include <string_view>
 
@@ -60,6 +61,10 @@
     curl_easy_setopt(this->easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(this->easy, CURLOPT_PROXY, "");
     curl_easy_setopt(this->easy, CURLOPT_TCP_NODELAY, 1L);
+    if (this->call.localAddress != 0) {
+        const std::string interface = "host!" + addressText(this->call.localAddress);
+        curl_easy_setopt(this->easy, CURLOPT_INTERFACE, interface.c_str());
+    }
     curl_easy_setopt(this->easy, CURLOPT_WRITEFUNCTION, &CurlTransfer::writeBody);
     curl_easy_setopt(this->easy, CURLOPT_WRITEDATA, this);
     curl_easy_setopt(this->easy, CURLOPT_HEADERFUNCTION, &CurlTransfer::writeHeader);
--- a/src/framework/net/tests/httptest.cpp
+++ b/src/framework/net/tests/httptest.cpp
@@ -24,10 +24,10 @@
     return {kLoopback | 0x400000 | (static_cast<std::uint32_t>(getpid()) & kHostBits), 18471};
 }
 
-HttpResult exchange(const Endpoint &server, const std::string &body)
+HttpResult exchange(const Endpoint &server, const std::string &body, std::uint32_t localAddress = 0)
 {
     AsioEventLoop loop;
-    CurlHttpClient client(loop);
+    CurlHttpClient client(loop, localAddress);
     HttpResult received;
     HttpCall call{.method = "POST",
                   .url = "http://" + endpointText(server) + "/echo?x=1",
@@ -69,3 +69,16 @@
     cr_assert(result.reason.code == ResultCode::StoreUnreachable);
     cr_assert(!result.anythingSent);
 }
+
+Test(http, call_comes_from_the_local_address)
+{
+    const Endpoint local = ownEndpoint();
+    const std::uint32_t callerAddress = local.address ^ 0x200000;
+    PistacheHttpServer server({.local = local});
+    cr_assert(server.start(
+        [](const HttpRequest &request, const std::shared_ptr<IHttpResponder> &responder) {
+            responder->answer({.body = addressText(request.from.address)});
+        }));
+    const HttpResult result = exchange(local, "body", callerAddress);
+    cr_assert_eq(result.answer.body, addressText(callerAddress));
+}
--- a/src/framework/net/types/httpcall.h
+++ b/src/framework/net/types/httpcall.h
@@ -3,6 +3,7 @@
 #include "net/types/httpheaders.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -17,6 +18,10 @@
     std::string body;
     std::chrono::milliseconds timeout{5000};
     std::chrono::milliseconds connectTimeout{1000};
+
+    //! Address to send from; 0 leaves it to the system.
+    std::uint32_t localAddress = 0;
+
     std::size_t maxAnswerBytes = 16 * 1024 * 1024;
 
     //! If set, the body is handed over piece by piece as it arrives instead of being collected.
