--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -13,6 +13,7 @@
 #include "settings/types/configuration.h"
 #include "store/etcdstore.h"
 #include "supervision/supervisor.h"
+#include "telemetry/igauge.h"
 #include "telemetry/prometheusmetrics.h"
 #include "telemetry/timeline.h"
 
@@ -39,7 +40,7 @@
     telemetry::PrometheusMetrics metrics;
     telemetry::TimeLine timeLine{this->clock, this->settings.name, this->settings.dataCentre};
     settings::ConfigurationHolder configuration;
-    net::CurlHttpClient client{this->loop};
+    net::CurlHttpClient client{this->loop, this->settings.data.address};
     store::EtcdStore store{this->client, this->settings.platform};
     operations::ConfigurationFollower follower{this->store, this->configuration, this->timeLine};
     flows::HashRouter router{this->configuration};
@@ -90,6 +91,10 @@
         }
     });
     parts.loop.every(kFlowTick, [&parts] { parts.router.tick(parts.clock.now()); });
+    parts.configuration.subscribe([&parts](const settings::Configuration &accepted) {
+        parts.metrics.gauge("configuration_generation")
+            .set(static_cast<double>(accepted.generation));
+    });
     parts.loop.every(kConfigurationPoll, [&parts] { parts.follower.poll(); });
     parts.loop.post([&parts] { parts.follower.poll(); });
     parts.loop.run();
