--- a/src/requests/internal/roundrobinhandler.cpp
+++ b/src/requests/internal/roundrobinhandler.cpp
@@ -75,9 +75,12 @@
         call.headers.erase(hopByHop);
     }
     ++this->runningCount;
+    this->started(*upstream);
     this->client.send(std::move(call),
-                      [this, responder = std::move(responder)](const net::HttpResult &result) {
+                      [this, name = upstream->name,
+                       responder = std::move(responder)](const net::HttpResult &result) {
                           --this->runningCount;
+                          this->ended(name);
                           responder->answer(toAnswer(result));
                       });
 }
--- a/src/requests/roundrobinhandler.h
+++ b/src/requests/roundrobinhandler.h
@@ -2,6 +2,7 @@
 
 #include "requests/irequesthandler.h"
 
+#include "global/name.h"
 #include "global/resultcode.h"
 
 #include <cstddef>
@@ -29,9 +30,17 @@
     void stopAccepting() override;
     std::size_t running() const override;
 
-private:
-    const settings::Upstream *next(const settings::Service &service);
+protected:
+    //! Upstream of the next request; nullptr if there is none.
+    virtual const settings::Upstream *next(const settings::Service &service);
+
+    //! A request was sent to \a upstream.
+    virtual void started(const settings::Upstream &) { }
 
+    //! A request to \a upstream has ended.
+    virtual void ended(const UpstreamName &) { }
+
+private:
     settings::IConfigurationSource &source;
     net::IHttpClient &client;
     std::size_t turn = 0;
--- a/src/upstreams/internal/upstreamsstate.h
+++ b/src/upstreams/internal/upstreamsstate.h
@@ -7,7 +7,7 @@
 
 namespace radishladder::upstreams {
 //! Longest time by which a VM's copy of the platform's list may lag.
-inline constexpr std::chrono::milliseconds kListLag{5000};
+inline constexpr std::chrono::milliseconds kListLag{10000};
 inline constexpr std::chrono::milliseconds kDefaultLongestRequest{10000};
 
 //! A VM that was paused for longer may hold an outdated list.
