Run any scenario with any faults in radishbench

Cause: the thin bench knew one load without faults. Change: scenarios as short tables of faults and a load, faults by KIND@TIME:TARGET/LENGTH, three deployments with delays, stand-ins for the fabric, the links between VMs and cold upstreams that judge outcomes on their own, measures as JSON or table with bounds, and exit codes 0, 1, 2. Faults of the store are noted as not done until its stand-in has them.

--- a/tools/radishbench/vmprocesses.h
+++ b/tools/radishbench/vmprocesses.h
@@ -2,6 +2,7 @@
 
 #include "settings/types/vmsettings.h"
 
+#include <chrono>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -12,23 +13,32 @@
 class VmProcesses
 {
 public:
-    VmProcesses(std::string program, std::vector<settings::VmSettings> vms);
+    //! Logs are kept in \a logDirectory; if that is empty they are removed with the run.
+    VmProcesses(std::string program, std::vector<settings::VmSettings> vms,
+                const std::string &logDirectory);
+
+    //! Kills what still runs.
     ~VmProcesses();
 
     bool start(std::size_t index);
     void signal(std::size_t index, int number);
 
-    //! Waits for the daemon to end; call after a signal that ends it.
-    void wait(std::size_t index);
-    bool isRunning(std::size_t index) const;
+    //! True once the daemon has ended; never blocks.
+    bool hasEnded(std::size_t index);
+
+    //! Ends all daemons: asks, waits up to \a patience, then kills.
+    void endAll(std::chrono::milliseconds patience);
+
+    //! Process of a running daemon, 0 if it does not run.
+    pid_t process(std::size_t index) const { return this->processes[index]; }
+
     const std::vector<settings::VmSettings> &settings() const { return this->vms; }
 
 private:
-    std::string settingsFile(const settings::VmSettings &vm) const;
-
     std::string program;
     std::vector<settings::VmSettings> vms;
     std::string directory;
+    std::string logDirectory;
     std::vector<pid_t> processes;
 };
 }
--- a/tools/standins/flowcaller.h
+++ b/tools/standins/flowcaller.h
@@ -22,11 +22,40 @@
 class FlowCaller
 {
 public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
     //! Hands one packet to the fabric.
     using Fabric = std::function<void(std::span<const std::uint8_t> packet)>;
-    using TimePoint = std::chrono::steady_clock::time_point;
 
-    FlowCaller(std::uint32_t address, net::IEventLoop &loop, Fabric fabric);
+    //! Why a flow did not end well.
+    enum class Cause {
+        Reset,
+        OtherUpstream,
+        NoProgress,
+    };
+
+    //! A flow that did not end well, as its caller saw it.
+    struct Loss
+    {
+        Cause cause = Cause::Reset;
+        std::string upstream;
+        net::Endpoint caller;
+        TimePoint openedAt;
+        TimePoint at;
+    };
+
+    //! Kinds of flows opened, answered and lost so far.
+    struct Counts
+    {
+        std::uint64_t opened = 0;
+        std::uint64_t finished = 0;
+        std::uint64_t notOpened = 0;
+        std::uint64_t answeredPackets = 0;
+        std::map<std::string, std::uint64_t> openedByUpstream;
+        std::vector<Loss> losses;
+    };
+
+    FlowCaller(std::vector<std::uint32_t> addresses, net::IEventLoop &loop, Fabric fabric);
     ~FlowCaller();
 
     bool start();
@@ -38,13 +67,13 @@
     //! Sends what is due, again where no answer came; call it often.
     void tick(TimePoint now);
 
-    std::uint64_t opened() const { return this->openedCount; }
-    std::uint64_t broken() const { return this->brokenCount; }
-    std::uint64_t finished() const { return this->finishedCount; }
-    std::uint64_t notOpened() const { return this->notOpenedCount; }
+    //! Judges a packet that an upstream sent to a caller.
+    void receive(std::span<const std::uint8_t> packet, TimePoint now);
+
+    const Counts &counts() const { return this->results; }
 
-    //! Flows opened by each upstream.
-    const std::map<std::string, std::uint64_t> &openedBy() const { return this->openedByUpstream; }
+    //! Flows that have not ended.
+    std::size_t running() const { return this->flows.size(); }
 
 private:
     enum class State {
@@ -58,28 +87,29 @@
         flows::FlowKey key;
         State state = State::Opening;
         std::chrono::milliseconds interval{0};
+        TimePoint openedAt;
         TimePoint endsAt;
         TimePoint nextSend;
         TimePoint waitingSince;
         std::chrono::milliseconds backoff{0};
         std::uint64_t sequence = 0;
         bool isAnswered = true;
+        std::string upstream;
     };
 
-    void receive(std::span<const std::uint8_t> packet);
+    net::Endpoint nextCaller();
     void send(Flow &flow, TimePoint now);
     void advance(Flow &flow, TimePoint now);
+    void noteOpened(Flow &flow, std::span<const std::uint8_t> payload, TimePoint now);
+    void noteAnswer(Flow &flow, std::span<const std::uint8_t> payload, TimePoint now);
+    void lose(Flow &flow, Cause cause, TimePoint now);
 
-    std::uint32_t address;
+    std::vector<std::uint32_t> addresses;
     net::IEventLoop &loop;
     Fabric fabric;
-    std::unique_ptr<net::BatchSocket> socket;
-    std::map<std::uint16_t, Flow> flows;
-    std::uint16_t nextPort = 10000;
-    std::uint64_t openedCount = 0;
-    std::uint64_t brokenCount = 0;
-    std::uint64_t finishedCount = 0;
-    std::uint64_t notOpenedCount = 0;
-    std::map<std::string, std::uint64_t> openedByUpstream;
+    std::vector<std::unique_ptr<net::BatchSocket>> sockets;
+    std::map<net::Endpoint, Flow> flows;
+    std::uint64_t turn = 0;
+    Counts results;
 };
 }
--- a/tools/standins/wire.cpp
+++ b/tools/standins/wire.cpp
@@ -7,9 +7,12 @@
 constexpr std::size_t kAnswerLines = 32;
 }
 
-std::vector<std::uint8_t> encodeUpstream(const UpstreamName &name)
+std::vector<std::uint8_t> encodeFlowAnswer(std::span<const std::uint8_t> sent,
+                                           const UpstreamName &name)
 {
-    return {name.str().begin(), name.str().end()};
+    std::vector<std::uint8_t> payload(sent.begin(), sent.end());
+    payload.insert(payload.end(), name.str().begin(), name.str().end());
+    return payload;
 }
 
 std::string expectedAnswer(const std::string &path, const std::string &body)
--- a/tools/standins/wire.h
+++ b/tools/standins/wire.h
@@ -3,6 +3,7 @@
 #include "global/name.h"
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -11,8 +12,9 @@
 //! UDP port on which callers receive the answers of their flows.
 inline constexpr std::uint16_t kCallerPort = 6081;
 
-//! Name of the upstream as the payload of its first answer.
-std::vector<std::uint8_t> encodeUpstream(const UpstreamName &name);
+//! Payload of an answer in a flow: what the caller sent, then the name of the upstream.
+std::vector<std::uint8_t> encodeFlowAnswer(std::span<const std::uint8_t> sent,
+                                           const UpstreamName &name);
 
 //! Answer that an upstream must give, by content, so that a caller can check that it is whole and
 //! its own.
