Wire fleet, placement, flows and status into the daemon

Cause: the parts stood side by side. Change: Fleet (datagrams, membership, facts, documents, configuration), FlowParts (upstreams, placement, epoch maker, router), VmStatusProvider (status and explain), the admin server answers paths of other modules. Conclusion: the process is assembled in three small classes rather than one.

--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -1,15 +1,18 @@
 #include "app/vmprocess.h"
 
 #include "app/datapath.h"
+#include "app/fleet.h"
+#include "app/flowparts.h"
 #include "app/requestfront.h"
-#include "flows/hashrouter.h"
+#include "app/vmstatusprovider.h"
 #include "global/systemclock.h"
 #include "net/asioeventloop.h"
+#include "net/batchsocket.h"
 #include "net/curlhttpclient.h"
+#include "operations/accesspolicy.h"
+#include "operations/admincalls.h"
 #include "operations/adminserver.h"
-#include "operations/configurationfollower.h"
 #include "requests/roundrobinhandler.h"
-#include "settings/configurationholder.h"
 #include "settings/types/configuration.h"
 #include "store/etcdstore.h"
 #include "supervision/supervisor.h"
@@ -25,44 +28,76 @@
 namespace radishladder::app {
 namespace {
 constexpr std::chrono::milliseconds kSupervisionPeriod{100};
-constexpr std::chrono::milliseconds kFlowTick{100};
-constexpr std::chrono::milliseconds kConfigurationPoll{1000};
 constexpr std::chrono::milliseconds kStopCheck{20};
+
+int exitCodeOf(ResultCode code)
+{
+    return static_cast<int>(code) / 100;
+}
 }
 
+//! What the process owns before anything is bound.
 struct VmProcess::Parts
 {
-    explicit Parts(settings::VmSettings vmSettings) : settings(std::move(vmSettings)) { }
+    explicit Parts(settings::VmSettings vmSettings)
+        : settings(std::move(vmSettings)), client(this->loop, this->settings.data.address)
+    { }
 
     settings::VmSettings settings;
     SystemClock clock;
     net::AsioEventLoop loop;
     telemetry::PrometheusMetrics metrics;
     telemetry::TimeLine timeLine{this->clock, this->settings.name, this->settings.dataCentre};
-    settings::ConfigurationHolder configuration;
-    net::CurlHttpClient client{this->loop, this->settings.data.address};
+    net::CurlHttpClient client;
     store::EtcdStore store{this->client, this->settings.platform};
-    operations::ConfigurationFollower follower{this->store, this->configuration, this->timeLine};
-    flows::HashRouter router{this->configuration};
-    requests::RoundRobinHandler handler{this->configuration, this->client};
-    std::atomic<bool> ready = false;
-    DataPath dataPath{this->settings.data, this->router, this->clock, this->loop, this->metrics};
-    RequestFront front{this->settings.requests, this->handler, this->loop};
-    operations::AdminServer admin{this->settings.admin, this->metrics,
-                                  [this] { return this->ready.load(); }};
     supervision::Supervisor root{"root", this->clock, this->timeLine};
+    std::atomic<bool> ready = false;
+    std::unique_ptr<net::BatchSocket> peerSocket;
+    std::unique_ptr<Running> running;
     int signals = -1;
     bool stopping = false;
     int exitCode = 0;
 };
 
+//! What works once the socket between the VMs is bound.
+struct VmProcess::Running
+{
+    explicit Running(Parts &parts)
+        : fleet(parts.settings, *parts.peerSocket, parts.client, parts.store, parts.clock,
+                parts.timeLine, parts.metrics),
+          flows(parts.settings, this->fleet, parts.client, parts.store, parts.clock, parts.timeLine,
+                parts.metrics),
+          handler(this->fleet.configuration, parts.client),
+          status(parts.settings, this->fleet, this->flows, parts.clock),
+          calls(operations::AccessPolicy(parts.settings.adminToken, parts.settings.openReads),
+                this->status, parts.timeLine, this->status),
+          admin(parts.settings.admin, parts.metrics, [&parts] { return parts.ready.load(); }),
+          dataPath(parts.settings.data, *this->flows.router, parts.clock, parts.loop,
+                   parts.metrics),
+          front(parts.settings.requests, this->handler, parts.loop)
+    {
+        this->admin.serveCalls(this->calls, parts.loop);
+        this->admin.servePath(
+            distribution::DocumentServer::kPath,
+            [this](const net::HttpRequest &request) { return this->fleet.server.answer(request); });
+        parts.root.add(this->admin);
+        parts.root.add(this->dataPath);
+        parts.root.add(this->front);
+    }
+
+    Fleet fleet;
+    FlowParts flows;
+    requests::RoundRobinHandler handler;
+    VmStatusProvider status;
+    operations::AdminCalls calls;
+    operations::AdminServer admin;
+    DataPath dataPath;
+    RequestFront front;
+};
+
 VmProcess::VmProcess(settings::VmSettings settings)
     : parts(std::make_unique<Parts>(std::move(settings)))
-{
-    this->parts->root.add(this->parts->admin);
-    this->parts->root.add(this->parts->dataPath);
-    this->parts->root.add(this->parts->front);
-}
+{ }
 
 VmProcess::~VmProcess()
 {
@@ -75,30 +110,43 @@
 {
     Parts &parts = *this->parts;
     this->watchSignals();
-    if (!parts.root.start()) {
-        const Reason reason = parts.root.lastReason();
+    Reason reason;
+    parts.peerSocket = net::BatchSocket::open(parts.settings.peer, reason);
+    if (parts.peerSocket) {
+        parts.running = std::make_unique<Running>(parts);
+        if (!parts.root.start()) {
+            reason = parts.root.lastReason();
+        }
+    }
+    if (reason.code != ResultCode::Ok) {
         parts.timeLine.record(
             {.kind = "vm.start-failed", .reason = reason.code, .detail = reason.detail});
-        return static_cast<int>(reason.code) / 100;
+        return exitCodeOf(reason.code);
     }
     parts.timeLine.record({.kind = "vm.started"});
-    parts.loop.every(kSupervisionPeriod, [this, &parts] {
+    this->startTicks();
+    parts.loop.run();
+    return parts.exitCode;
+}
+
+void VmProcess::startTicks()
+{
+    Parts &parts = *this->parts;
+    Running &running = *parts.running;
+    running.fleet.run(parts.loop);
+    running.flows.run(parts.loop, parts.clock);
+    running.fleet.configuration.subscribe([&parts](const settings::Configuration &accepted) {
+        parts.metrics.gauge("configuration_generation")
+            .set(static_cast<double>(accepted.generation));
+    });
+    parts.loop.every(kSupervisionPeriod, [this, &parts, &running] {
         parts.root.supervise();
-        parts.ready = !parts.stopping && parts.configuration.current()->generation > 0;
+        parts.ready = !parts.stopping && running.fleet.configuration.current()->generation > 0;
         if (!parts.root.isHealthy()) {
-            parts.exitCode = static_cast<int>(ResultCode::ComponentEscalated) / 100;
+            parts.exitCode = exitCodeOf(ResultCode::ComponentEscalated);
             this->finishStop();
         }
     });
-    parts.loop.every(kFlowTick, [&parts] { parts.router.tick(parts.clock.now()); });
-    parts.configuration.subscribe([&parts](const settings::Configuration &accepted) {
-        parts.metrics.gauge("configuration_generation")
-            .set(static_cast<double>(accepted.generation));
-    });
-    parts.loop.every(kConfigurationPoll, [&parts] { parts.follower.poll(); });
-    parts.loop.post([&parts] { parts.follower.poll(); });
-    parts.loop.run();
-    return parts.exitCode;
 }
 
 void VmProcess::watchSignals()
@@ -123,12 +171,16 @@
 void VmProcess::beginStop()
 {
     Parts &parts = *this->parts;
+    Running &running = *parts.running;
     parts.stopping = true;
     parts.ready = false;
     parts.timeLine.record({.kind = "vm.stopping"});
-    parts.handler.stopAccepting();
-    parts.loop.every(kStopCheck, [this, &parts] {
-        if (parts.handler.running() == 0) {
+    running.handler.stopAccepting();
+    running.fleet.membership.announceLeaving();
+    running.flows.router->prepareStop(parts.clock.now());
+    parts.loop.every(kStopCheck, [this, &parts, &running] {
+        if (running.handler.running() == 0
+            && running.flows.router->isReadyToStop(parts.clock.now())) {
             this->finishStop();
         }
     });
--- a/src/app/vmprocess.h
+++ b/src/app/vmprocess.h
@@ -19,7 +19,9 @@
 
 private:
     struct Parts;
+    struct Running;
 
+    void startTicks();
     void watchSignals();
     void beginStop();
     void finishStop();
--- a/src/operations/adminserver.h
+++ b/src/operations/adminserver.h
@@ -5,12 +5,15 @@
 #include "net/types/endpoint.h"
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <string>
 
 namespace radishladder::net {
 class IEventLoop;
 class IHttpResponder;
 class IHttpServer;
+struct HttpAnswer;
 struct HttpRequest;
 }
 namespace radishladder::telemetry {
@@ -32,6 +35,10 @@
     //! Hands all other paths to \a calls on \a loop; call it before start().
     void serveCalls(AdminCalls &calls, net::IEventLoop &loop);
 
+    //! Answers \a path by \a handler, on the loop given to serveCalls(); call it before start().
+    using PathHandler = std::function<net::HttpAnswer(const net::HttpRequest &)>;
+    void servePath(const std::string &path, PathHandler handler);
+
     std::string name() const override;
     bool start() override;
     void stop() override;
@@ -45,6 +52,7 @@
     telemetry::IMetrics &metrics;
     std::function<bool()> isReady;
     AdminCalls *calls = nullptr;
+    std::map<std::string, PathHandler> paths;
     net::IEventLoop *loop = nullptr;
     std::unique_ptr<net::IHttpServer> server;
 };
--- a/src/operations/internal/adminserver.cpp
+++ b/src/operations/internal/adminserver.cpp
@@ -51,6 +51,11 @@
     this->loop = &onLoop;
 }
 
+void AdminServer::servePath(const std::string &path, PathHandler handler)
+{
+    this->paths[path] = std::move(handler);
+}
+
 void AdminServer::handle(const net::HttpRequest &request,
                          const std::shared_ptr<net::IHttpResponder> &responder) const
 {
@@ -62,6 +67,10 @@
     } else if (request.path == "/metrics") {
         responder->answer({.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
                            .body = this->metrics.exposition()});
+    } else if (const auto served = this->paths.find(request.path); served != this->paths.end()) {
+        this->loop->post([handler = &served->second, request, responder] {
+            responder->answer((*handler)(request));
+        });
     } else if (this->calls != nullptr) {
         this->loop->post([calls = this->calls, request, responder] {
             responder->answer(calls->answer(request));
