--- a/src/membership/tests/fleet.h
+++ b/src/membership/tests/fleet.h
@@ -10,6 +10,7 @@
 #include "telemetry/prometheusmetrics.h"
 #include "telemetry/timeline.h"
 
+#include <algorithm>
 #include <functional>
 #include <list>
 #include <map>
--- a/src/membership/tests/membershiptest.cpp
+++ b/src/membership/tests/membershiptest.cpp
@@ -80,13 +80,21 @@
     cr_assert(allAlive(fleet));
 }
 
-Test(membership, a_paused_vm_is_not_confident_until_it_has_heard_a_majority)
+// The shorter pause ends while older answers would still be fresh.
+ParameterizedTestParameters(membership, a_paused_vm_is_not_confident_until_it_has_heard_a_majority)
+{
+    static int seconds[] = {2, 10};
+    return cr_make_param_array(int, seconds, sizeof seconds / sizeof *seconds);
+}
+
+ParameterizedTest(int *seconds, membership,
+                  a_paused_vm_is_not_confident_until_it_has_heard_a_majority)
 {
     Fleet fleet(8);
     fleet.run(3s);
     fleet.at(2).isPaused = true;
-    fleet.run(10s);
-    cr_assert(allSee(fleet, 2, MemberState::Dead));
+    fleet.run(std::chrono::seconds(*seconds));
+    cr_assert(*seconds == 2 || allSee(fleet, 2, MemberState::Dead));
     cr_assert(!fleet.at(2).isConfident());
     fleet.at(2).isPaused = false;
     // Cut off, the woken VM only has what waited in its socket during the pause.
@@ -239,6 +247,29 @@
     cr_assert(fleet.at(3).isConfident());
 }
 
+// A silent VM may have been confirmed just before the others acknowledged.
+Test(membership, a_silent_vm_is_waited_for_after_the_last_acknowledgement)
+{
+    Fleet fleet(5);
+    fleet.run(3s);
+    fleet.at(4).group = 1;
+    fleet.run(10s);
+    Fleet::Vm &vm = fleet.at(0);
+    const auto acknowledged = vm.clock.now();
+    const auto isSettled = [&] {
+        return vm.membership.isSettled(
+            [&](const VmName &name) {
+                return name == Fleet::listed(4).name ? std::nullopt
+                                                     : std::make_optional(acknowledged);
+            },
+            vm.clock.now());
+    };
+    fleet.run(silenceBound(5));
+    cr_assert(!isSettled());
+    fleet.run(100ms);
+    cr_assert(isSettled());
+}
+
 // Load of the heartbeats: the same at every size of the fleet.
 Test(membership, bytes_do_not_grow_with_the_fleet, .timeout = 900)
 {
--- a/src/operations/configurationfollower.h
+++ b/src/operations/configurationfollower.h
@@ -1,42 +1,38 @@
 #pragma once
 
-#include "global/reason.h"
-
 #include <string>
-#include <vector>
 
+namespace radishladder::distribution {
+class IDocumentFeed;
+}
 namespace radishladder::settings {
 class ConfigurationHolder;
 }
-namespace radishladder::store {
-class IConfigStore;
-struct StoredValue;
-}
 namespace radishladder::telemetry {
 class ITimeLine;
 }
 
 namespace radishladder::operations {
 
-//! Brings the accepted configuration from the platform's store into force on this VM.
+//! Brings the accepted configuration from the documents into force on this VM.
 class ConfigurationFollower
 {
 public:
-    ConfigurationFollower(store::IConfigStore &store, settings::ConfigurationHolder &holder,
+    //! Subscribes itself to \a feed.
+    ConfigurationFollower(distribution::IDocumentFeed &feed, settings::ConfigurationHolder &holder,
                           telemetry::ITimeLine &timeLine);
 
-    //! Asks the store for the current configuration unless an answer is outstanding.
-    void poll();
-
 private:
-    void noteReach(const Reason &reason);
-    void accept(const std::vector<store::StoredValue> &values);
+    void tryHead();
 
-    store::IConfigStore &store;
+    distribution::IDocumentFeed &feed;
     settings::ConfigurationHolder &holder;
     telemetry::ITimeLine &timeLine;
-    bool outstanding = false;
-    std::string seenHead;
-    ResultCode lastFailure = ResultCode::Ok;
+
+    //! Head that was accepted or refused for good.
+    std::string settledHead;
+
+    //! Head whose missing parts were noted on the time line.
+    std::string waitingHead;
 };
 }
--- a/src/operations/internal/configurationfollower.cpp
+++ b/src/operations/internal/configurationfollower.cpp
@@ -1,71 +1,50 @@
 #include "operations/configurationfollower.h"
 
+#include "distribution/idocumentfeed.h"
 #include "settings/configurationcodec.h"
 #include "settings/configurationholder.h"
 #include "settings/types/configuration.h"
-#include "store/iconfigstore.h"
 #include "store/storekeys.h"
 #include "store/types/storedvalue.h"
 #include "telemetry/itimeline.h"
 
-#include <map>
-
 namespace radishladder::operations {
-ConfigurationFollower::ConfigurationFollower(store::IConfigStore &store,
+ConfigurationFollower::ConfigurationFollower(distribution::IDocumentFeed &feed,
                                              settings::ConfigurationHolder &holder,
                                              telemetry::ITimeLine &timeLine)
-    : store(store), holder(holder), timeLine(timeLine)
-{ }
-
-void ConfigurationFollower::poll()
-{
-    if (this->outstanding) {
-        return;
-    }
-    this->outstanding = true;
-    this->store.list(std::string(store::kDocumentPrefix),
-                     [this](const auto &values, std::int64_t, const Reason &reason) {
-                         this->outstanding = false;
-                         this->noteReach(reason);
-                         if (values) {
-                             this->accept(*values);
-                         }
-                     });
-}
-
-void ConfigurationFollower::noteReach(const Reason &reason)
+    : feed(feed), holder(holder), timeLine(timeLine)
 {
-    if (reason.code == this->lastFailure) {
-        return;
-    }
-    this->lastFailure = reason.code;
-    this->timeLine.record({.kind = reason.code == ResultCode::Ok ? "store.reached" : "store.failed",
-                           .reason = reason.code,
-                           .detail = reason.detail});
+    const auto retry = [this](const store::StoredValue &) { this->tryHead(); };
+    feed.subscribe(std::string(store::kConfigurationKey), retry);
+    feed.subscribe(std::string(store::kPartPrefix), retry);
 }
 
-void ConfigurationFollower::accept(const std::vector<store::StoredValue> &values)
+void ConfigurationFollower::tryHead()
 {
-    std::map<std::string, std::string> byKey;
-    for (const store::StoredValue &value : values) {
-        byKey[value.key] = value.value;
-    }
-    const auto head = byKey.find(std::string(store::kConfigurationKey));
-    if (head == byKey.end() || head->second == this->seenHead) {
+    const auto head = this->feed.find(std::string(store::kConfigurationKey));
+    if (!head || head->value == this->settledHead) {
         return;
     }
-    this->seenHead = head->second;
     settings::ConfigurationCodec codec;
-    auto configuration = codec.decode(head->second, [&byKey](const std::string &digest) {
-        const auto part = byKey.find(std::string(store::kPartPrefix) + digest);
-        return part == byKey.end() ? std::nullopt : std::make_optional(part->second);
+    auto configuration = codec.decode(head->value, [this](const std::string &digest) {
+        const auto part = this->feed.find(std::string(store::kPartPrefix) + digest);
+        return part ? std::make_optional(part->value) : std::nullopt;
     });
     if (!configuration) {
         const Reason &why = codec.lastReason();
-        this->timeLine.record(
-            {.kind = "configuration.refused", .reason = why.code, .detail = why.detail});
+        // Parts and head travel apart: a missing part is waited for, anything else is final.
+        const bool isWaiting = why.code == ResultCode::StoreKeyMissing;
+        std::string &noted = isWaiting ? this->waitingHead : this->settledHead;
+        if (noted != head->value) {
+            noted = head->value;
+            this->timeLine.record(
+                {.kind = isWaiting ? "configuration.incomplete" : "configuration.refused",
+                 .reason = why.code,
+                 .detail = why.detail});
+        }
         return;
     }
+    this->settledHead = head->value;
     const std::string subject = std::to_string(configuration->generation);
     if (this->holder.accept(std::move(*configuration))) {
         this->timeLine.record({.kind = "configuration.accepted", .subject = subject});
