--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -4,6 +4,7 @@
 #include "app/fleet.h"
 #include "app/flowparts.h"
 #include "app/requestfront.h"
+#include "app/requestparts.h"
 #include "app/vmstatusprovider.h"
 #include "global/systemclock.h"
 #include "net/asioeventloop.h"
@@ -12,7 +13,6 @@
 #include "operations/accesspolicy.h"
 #include "operations/admincalls.h"
 #include "operations/adminserver.h"
-#include "requests/roundrobinhandler.h"
 #include "settings/types/configuration.h"
 #include "store/etcdstore.h"
 #include "supervision/supervisor.h"
@@ -67,14 +67,15 @@
                 parts.timeLine, parts.metrics),
           flows(parts.settings, this->fleet, parts.client, parts.store, parts.clock, parts.timeLine,
                 parts.metrics),
-          handler(this->fleet.configuration, parts.client),
+          requests(parts.settings, this->fleet, this->flows.upstreams, parts.client, parts.metrics,
+                   parts.clock),
           status(parts.settings, this->fleet, this->flows, parts.clock),
           calls(operations::AccessPolicy(parts.settings.adminToken, parts.settings.openReads),
                 this->status, parts.timeLine, this->status),
           admin(parts.settings.admin, parts.metrics, [&parts] { return parts.ready.load(); }),
           dataPath(parts.settings.data, *this->flows.router, parts.clock, parts.loop,
                    parts.metrics),
-          front(parts.settings.requests, this->handler, parts.loop)
+          front(parts.settings.requests, *this->requests.handler, parts.loop)
     {
         this->admin.serveCalls(this->calls, parts.loop);
         this->admin.servePath(
@@ -87,7 +88,7 @@
 
     Fleet fleet;
     FlowParts flows;
-    requests::RoundRobinHandler handler;
+    RequestParts requests;
     VmStatusProvider status;
     operations::AdminCalls calls;
     operations::AdminServer admin;
@@ -135,6 +136,7 @@
     Running &running = *parts.running;
     running.fleet.run(parts.loop);
     running.flows.run(parts.loop, parts.clock);
+    running.requests.run(parts.loop, parts.clock);
     running.fleet.configuration.subscribe([&parts](const settings::Configuration &accepted) {
         parts.metrics.gauge("configuration_generation")
             .set(static_cast<double>(accepted.generation));
@@ -175,11 +177,11 @@
     parts.stopping = true;
     parts.ready = false;
     parts.timeLine.record({.kind = "vm.stopping"});
-    running.handler.stopAccepting();
+    running.requests.handler->stopAccepting();
     running.fleet.membership.announceLeaving();
     running.flows.router->prepareStop(parts.clock.now());
     parts.loop.every(kStopCheck, [this, &parts, &running] {
-        if (running.handler.running() == 0
+        if (running.requests.handler->running() == 0
             && running.flows.router->isReadyToStop(parts.clock.now())) {
             this->finishStop();
         }
--- a/src/upstreams/internal/upstreamtracker.cpp
+++ b/src/upstreams/internal/upstreamtracker.cpp
@@ -7,7 +7,6 @@
 
 namespace radishladder::upstreams {
 namespace {
-constexpr int kAnswersPerSlot = 3;
 constexpr int kFirstFlowsPerSecond = 20;
 constexpr int kUnlimitedFlowLevel = 7;
 constexpr int kSilentBeforeGone = 3;
--- a/src/upstreams/internal/upstreamtracker.h
+++ b/src/upstreams/internal/upstreamtracker.h
@@ -17,6 +17,9 @@
 public:
     using TimePoint = std::chrono::steady_clock::time_point;
 
+    //! Answers at the present allowance that prove one more slot.
+    static constexpr int kAnswersPerSlot = 12;
+
     explicit UpstreamTracker(int slots);
 
     //! A request or probe of this VM ended.
--- a/src/upstreams/tests/upstreamstest.cpp
+++ b/src/upstreams/tests/upstreamstest.cpp
@@ -2,6 +2,7 @@
 
 #include "global/manualclock.h"
 #include "telemetry/timeline.h"
+#include "upstreams/internal/upstreamtracker.h"
 #include "upstreams/tests/fakes.h"
 #include "upstreams/types/loadreport.h"
 
@@ -141,7 +142,7 @@
             this->clock.advance(50ms);
             for (auto &vm : this->vms) {
                 while (vm->upstreams.admitRequest(kHost, this->clock.now())) {
-                    for (int i = 0; i < 3; ++i) {
+                    for (int i = 0; i < UpstreamTracker::kAnswersPerSlot; ++i) {
                         vm->upstreams.requestEnded(kHost, Observation::Answered, 10ms,
                                                    this->clock.now());
                     }
--- a/src/upstreams/tests/upstreamtrackertest.cpp
+++ b/src/upstreams/tests/upstreamtrackertest.cpp
@@ -42,7 +42,7 @@
 Host readyHost()
 {
     Host host;
-    host.see(Observation::Answered, kQuick, 6);
+    host.see(Observation::Answered, kQuick, 2 * UpstreamTracker::kAnswersPerSlot);
     host.provenSeconds(8);
     return host;
 }
@@ -57,10 +57,10 @@
     host.tracker.tick(host.now);
     cr_assert_eq(host.tracker.slotAllowance(), 1);
     cr_assert_eq(host.tracker.flowAllowance().value_or(0), 20);
-    host.see(Observation::Answered, kQuick, 3);
+    host.see(Observation::Answered, kQuick, UpstreamTracker::kAnswersPerSlot);
     cr_assert_eq(host.tracker.slotAllowance(), 2);
     cr_assert_eq(host.state(), UpstreamState::Ramping);
-    host.see(Observation::Answered, kQuick, 3);
+    host.see(Observation::Answered, kQuick, UpstreamTracker::kAnswersPerSlot);
     cr_assert_eq(host.tracker.slotAllowance(), 3);
     cr_assert_eq(host.state(), UpstreamState::Ready);
 }
@@ -178,7 +178,7 @@
     Host host = readyHost();
     host.tracker.returnToService(7, host.now);
     cr_assert_eq(host.state(), UpstreamState::Starting);
-    host.see(Observation::Answered, kQuick, 3);
+    host.see(Observation::Answered, kQuick, UpstreamTracker::kAnswersPerSlot);
     host.tracker.returnToService(7, host.now);
     cr_assert_eq(host.tracker.slotAllowance(), 2);
 }
