--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -9,6 +9,8 @@
 #include "net/asioeventloop.h"
 #include "net/batchsocket.h"
 #include "net/curlhttpclient.h"
+#include "net/types/httpanswer.h"
+#include "net/types/httprequest.h"
 #include "operations/accesspolicy.h"
 #include "operations/admincalls.h"
 #include "operations/adminserver.h"
