Do the faults of the store in radishbench

Cause: store-down, store-slow, store-lose-answers and platform-cut were only noted as not done while the stand-in lacked them.

--- a/tools/radishbench/faultdriver.cpp
+++ b/tools/radishbench/faultdriver.cpp
@@ -16,6 +16,13 @@
 constexpr std::chrono::milliseconds kReportLag{1000};
 constexpr std::chrono::milliseconds kColdAfterOut{4000};
 
+//! VMs that a target names: one VM, or all of a data centre.
+std::vector<std::size_t> targetVms(const Cluster &cluster, const std::string &target)
+{
+    const std::size_t index = cluster.vmIndex(target);
+    return index < cluster.deployment().vms.size() ? std::vector<std::size_t>{index}
+                                                   : cluster.vmsIn(target);
+}
 }
 
 FaultDriver::FaultDriver(Cluster &cluster, ConfigurationEditor &editor, ConfigurationWatch &watch,
@@ -132,13 +139,30 @@
 
 void FaultDriver::changeStore(const Fault &fault, bool begins)
 {
-    const bool isOfStore = fault.kind == FaultKind::StoreDown || fault.kind == FaultKind::StoreSlow
-        || fault.kind == FaultKind::StoreLoseAnswers || fault.kind == FaultKind::PlatformCut;
-    if (isOfStore && begins) {
-        this->recorder.note(std::chrono::steady_clock::now(), "not-done", fault.text);
-    }
-    if (fault.kind == FaultKind::StoreDown) {
+    standins::StoreStandin &store = this->cluster.store();
+    switch (fault.kind) {
+    case FaultKind::StoreDown:
+        store.setDown(begins);
         this->editor.setStoreDown(begins);
+        break;
+    case FaultKind::StoreSlow:
+        store.setDelay(begins ? fault.delay : std::chrono::milliseconds(0));
+        break;
+    case FaultKind::StoreLoseAnswers:
+        store.setLoseAnswers(begins);
+        break;
+    case FaultKind::PlatformCut:
+        for (const std::size_t index : targetVms(this->cluster, fault.target)) {
+            const std::uint32_t address = this->cluster.deployment().vms[index].data.address;
+            if (begins) {
+                store.refuseFrom(address);
+            } else {
+                store.acceptFrom(address);
+            }
+        }
+        break;
+    default:
+        break;
     }
 }
 
