Follow the store interface in the feed's test store

The store interface gave up remove() in favour of another interface, so that the test store of the feed no longer compiled on the merged tree. The unused method is gone from it; no test changed what it checks.

--- a/src/distribution/tests/fakestore.h
+++ b/src/distribution/tests/fakestore.h
@@ -62,7 +62,6 @@
         void compareAndSwap(const std::string &, std::int64_t, const std::string &,
                             std::optional<LeaseId>, WriteHandler) override
         { }
-        void remove(const std::string &, std::int64_t, WriteHandler) override { }
         void grantLease(std::chrono::seconds, LeaseHandler) override { }
         void keepLeaseAlive(LeaseId, LeaseHandler) override { }
         WatchId watch(const std::string &prefix, std::int64_t from, WatchHandler handler) override
