Apply configurations by compare-and-swap and settle lost answers

Nothing wrote the configuration. ConfigurationApplier writes the parts, then head and history in one transaction that expects the head's revision, so that a change id is in the history exactly if it was accepted. A lost answer is settled by reading back; the loser learns who won and what differs; when nobody can tell, the result says so. Old parts are removed; a part that comes into use again is written again, so that its removal by another operator fails. The random test (two operators, outages, lost answers, delayed effects, stale reads) first found a real fault: a stale history was written back and lost a change, after which a loser was told wrongly; it is compared with the newest now. Mutants (a conflict taken as loss; old parts not written again) fail it.

--- a/src/store/storekeys.h
+++ b/src/store/storekeys.h
@@ -10,6 +10,10 @@
 //! Head of the accepted configuration, replaced by compare-and-swap only.
 inline constexpr std::string_view kConfigurationKey = "/radishladder/configuration";
 
+//! The last accepted changes, written together with the head; outside of kDocumentPrefix, because
+//! VMs need it not.
+inline constexpr std::string_view kHistoryKey = "/radishladder-history";
+
 //! Prefix of the parts of configurations, one for each digest, written once and never changed.
 inline constexpr std::string_view kPartPrefix = "/radishladder/parts/";
 
--- a/tools/standins/storedata.cpp
+++ b/tools/standins/storedata.cpp
@@ -100,7 +100,7 @@
         const std::int64_t current = found == this->entries.end() ? 0 : found->second.revision;
         holds = holds && integerOf(compare["mod_revision"]) == current;
     }
-    this->revision += holds ? 1 : 0;
+    this->revision += holds && !body["success"].empty() ? 1 : 0;
     for (const Json::Value &operation : holds ? body["success"] : Json::Value()) {
         if (operation.isMember("request_put")) {
             const Json::Value &put = operation["request_put"];
