Write results and plots from runs of radishbench

Cause: a run gave JSON only, so nobody could compare runs or see a fault's effect over time. Conclusion: the page is made from what runs printed only.

--- a/tools/radishbench/radishbench.cpp
+++ b/tools/radishbench/radishbench.cpp
@@ -1,4 +1,5 @@
 #include "radishbench/faultparser.h"
+#include "radishbench/report.h"
 #include "radishbench/runcommand.h"
 #include "radishbench/scenario.h"
 #include "radishbench/types/runoptions.h"
@@ -60,6 +61,8 @@
 ABSL_FLAG(std::string, format, "json", "json or table");
 ABSL_FLAG(std::string, trace, "", "file for the events of the run, one JSON object a line");
 ABSL_FLAG(std::string, log_directory, "", "directory that keeps the daemons' logs");
+ABSL_FLAG(std::string, directory, "docs", "where report writes RESULTS.md and results/*.svg");
+ABSL_FLAG(std::string, commit, "not stated", "commit that the runs were made at, for report");
 ABSL_FLAG(std::string, daemon, "",
           "path of radishladderd; default: the one built beside this program");
 
@@ -147,6 +150,7 @@
 const char *const kUsage = "Load and experiments for radishladder.\n"
                            "  radishbench list\n"
                            "  radishbench run SCENARIO [flags]\n"
+                           "  radishbench report FILE... [--directory=docs] [--commit=ID]\n"
                            "Exit code: 0 all bounds hold, 1 one is missed, 2 bad use.\n"
                            "Faults:\n";
 }
@@ -171,6 +175,10 @@
         blockSignals();
         return runScenario(runOptions(words[1]), format == "table");
     }
+    if (words.size() > 1 && words[0] == "report") {
+        return writeReport({words.begin() + 1, words.end()}, absl::GetFlag(FLAGS_directory),
+                           absl::GetFlag(FLAGS_commit));
+    }
     std::cerr << "radishbench: bad use\n" << kUsage << FaultParser::kindsText();
     return kExitBadUse;
 }
--- a/tools/radishbench/runcommand.cpp
+++ b/tools/radishbench/runcommand.cpp
@@ -82,6 +82,10 @@
     json["flow_mechanism"] = options.flowMechanism;
     json["request_mechanism"] = options.requestMechanism;
     json["faults"] = Json::Value(Json::arrayValue);
+    json["extra_faults"] = Json::Value(Json::arrayValue);
+    for (const std::string &text : options.faults) {
+        json["extra_faults"].append(text);
+    }
     for (const Fault &fault : faults) {
         json["faults"].append(fault.text);
     }
