End records with their flows and ask for records at start

Cause: in radishbench run steady, 20 s, 483 new flows of 2,702 were not opened: homes of a fleet that had just started never counted as settled (pulls began only with the first contested packet and then waited behind the replication budget), and a FIN that met a cache entry elsewhere never reached the home, whose record kept the slot contested for the idle limit. Change: a young VM asks for records before it is needed; FIN and RST go by the home; a ramping upstream keeps its slots, so that a cold start of all leaves no flow off the table; control bytes are counted by message kind.

--- a/src/flows/internal/flowrouter.cpp
+++ b/src/flows/internal/flowrouter.cpp
@@ -155,9 +155,12 @@
     if (packet.source == PacketSource::Recall) {
         return this->answerRecall(packet);
     }
-    if (!packet.info.opens) {
+    // The last packets of a flow go by its home, whose record would otherwise outlive the flow and
+    // keep the slot contested.
+    const bool mayUseCache = !packet.info.opens && !packet.info.finishes && !packet.info.resets;
+    if (mayUseCache || packet.source != PacketSource::Fabric) {
         const auto cached = parts.cache.find(packet.hash, packet.time, parts.options.cacheTrust);
-        if (cached) {
+        if (cached && !packet.info.opens) {
             return this->forwardUnrecorded(packet, *cached);
         }
     }
--- a/src/flows/internal/homedirectory.cpp
+++ b/src/flows/internal/homedirectory.cpp
@@ -9,6 +9,7 @@
 namespace radishladder::flows {
 namespace {
 constexpr std::size_t kEntryLimit = 65536;
+constexpr std::size_t kAskedAtStart = 32;
 constexpr std::chrono::seconds kAnswersAfterLoss{30};
 }
 
@@ -69,11 +70,26 @@
     this->takenOverAt[peer] = now;
 }
 
-std::set<PeerId> HomeDirectory::takeWanted()
+std::set<PeerId> HomeDirectory::takeWanted(TimePoint now)
 {
+    // A VM that has just started asks before it is needed: until the answer, packets in its slots
+    // wait.
+    if (this->startedAt != TimePoint{} && this->isYoung(now)) {
+        for (const VmName &name : this->firstOthers()) {
+            const PeerId peer = this->idOf(name);
+            this->isTakenOver(peer, this->startedAt);
+        }
+    }
     return std::exchange(this->wanted, {});
 }
 
+std::vector<VmName> HomeDirectory::firstOthers() const
+{
+    std::vector<VmName> names = this->others();
+    names.resize(std::min(names.size(), kAskedAtStart));
+    return names;
+}
+
 const HomeView &HomeDirectory::lookup(std::uint64_t key, TimePoint now)
 {
     if (this->startedAt == TimePoint{}) {
--- a/src/flows/internal/homedirectory.h
+++ b/src/flows/internal/homedirectory.h
@@ -54,7 +54,7 @@
     void noteTakenOver(PeerId peer, TimePoint now);
 
     //! VMs to pull records from; cleared by the call.
-    std::set<PeerId> takeWanted();
+    std::set<PeerId> takeWanted(TimePoint now);
 
     PeerId idOf(const VmName &name);
     const VmName &nameOf(PeerId peer) const { return this->names[peer]; }
@@ -69,6 +69,7 @@
     void leave(TimePoint now);
 
 private:
+    std::vector<VmName> firstOthers() const;
     struct Entry
     {
         HomeView view;
--- a/src/flows/internal/recordexchange.cpp
+++ b/src/flows/internal/recordexchange.cpp
@@ -324,7 +324,7 @@
 
 void RecordExchange::sendPulls(TimePoint now)
 {
-    for (const PeerId peer : this->homes.takeWanted()) {
+    for (const PeerId peer : this->homes.takeWanted(now)) {
         TimePoint &last = this->pulledAt[peer];
         if (now - last >= kPullPeriod) {
             last = now;
--- a/src/membership/internal/peertransport.cpp
+++ b/src/membership/internal/peertransport.cpp
@@ -32,6 +32,7 @@
     DatagramCipher cipher;
     net::IDatagramSocket &socket;
     telemetry::IMetrics &metrics;
+    std::map<MessageKind, telemetry::ICounter *> bytesByKind;
     telemetry::ICounter &bytesSent;
     telemetry::ICounter &bytesReceived;
     std::uint64_t counter = 0;
@@ -39,6 +40,17 @@
     std::map<std::uint64_t, Sender> senders;
     std::map<MessageKind, Handler> handlers;
     std::map<ResultCode, telemetry::ICounter *> drops;
+
+    telemetry::ICounter &sentOfKind(MessageKind kind)
+    {
+        telemetry::ICounter *&counterOfKind = this->bytesByKind[kind];
+        if (counterOfKind == nullptr) {
+            const std::string label = std::to_string(static_cast<int>(kind));
+            counterOfKind =
+                &this->metrics.counter("control_bytes_by_kind_total", {{"kind", label}});
+        }
+        return *counterOfKind;
+    }
 };
 
 PeerTransport::PeerTransport(VmName self, std::uint64_t start, const std::vector<std::string> &keys,
@@ -92,6 +104,7 @@
                                 .counter = ++this->state->counter};
     const auto datagram = this->state->cipher.seal(header, hash64(to.str()), plain);
     this->state->bytesSent.add(datagram.size());
+    this->state->sentOfKind(kind).add(datagram.size());
     this->state->socket.send(datagram, address->second);
 }
 
--- a/src/placement/internal/epochplacement.cpp
+++ b/src/placement/internal/epochplacement.cpp
@@ -24,9 +24,11 @@
 constexpr std::uint64_t kHomeKeySeed = 0x686f6d65;
 constexpr std::size_t kHomePartitions = 256;
 
+//! A ramping upstream keeps its slots: what exceeds its pace is asked for again, and no flow goes
+//! off the table.
 bool takesNewFlows(upstreams::UpstreamState state)
 {
-    return state == upstreams::UpstreamState::Ready;
+    return state == upstreams::UpstreamState::Ready || state == upstreams::UpstreamState::Ramping;
 }
 
 membership::ISharedFacts::Value bytesOf(std::uint64_t value)
