--- a/src/flows/internal/flowrecord.h
+++ b/src/flows/internal/flowrecord.h
@@ -34,9 +34,6 @@
     std::uint64_t hash = 0;
     placement::UpstreamIndex upstream = placement::kNoUpstream;
 
-    //! Upstream of the slot's table when the record was made.
-    placement::UpstreamIndex table = placement::kNoUpstream;
-
     FlowTime lastUsed = 0;
     FlowTime placedAt = 0;
     FlowTime lastSent = 0;
--- a/src/flows/internal/flowrouter.cpp
+++ b/src/flows/internal/flowrouter.cpp
@@ -80,8 +80,9 @@
         // A data centre that is out moves homes away from its VMs.
         this->parts->homes.invalidate(clock.now());
     });
-    dependencies.membership.subscribe(
-        [this, &clock](const membership::Member &) { this->parts->homes.invalidate(clock.now()); });
+    dependencies.membership.subscribe([this, &clock](const membership::Member &member) {
+        this->parts->homes.noteMember(member, clock.now());
+    });
 }
 
 FlowRouter::~FlowRouter() = default;
@@ -189,14 +190,15 @@
             return this->forwardUnrecorded(packet, *cached);
         }
     }
-    if (!parts.confidence.isSure()) {
-        const bool serveLocally = packet.info.opens && parts.confidence.isCutOff(packet.now);
-        return serveLocally ? this->placeNew(packet) : drop(ResultCode::FlowDoubtful);
-    }
     const std::uint64_t key = parts.placement.homeKey(packet.service, packet.hash);
     if (!parts.homes.lookup(key, packet.now).isSettled) {
+        // The VM that is asked answers by its own confidence.
         return this->recall(packet);
     }
+    if (!parts.confidence.isSure()) {
+        const bool serveLocally = packet.info.opens && parts.confidence.isCutOff(packet.now);
+        return serveLocally ? this->placeNew(packet) : drop(ResultCode::FlowDoubtful);
+    }
     if (packet.info.opens) {
         return this->placeNew(packet);
     }
--- a/src/flows/internal/homedirectory.cpp
+++ b/src/flows/internal/homedirectory.cpp
@@ -1,5 +1,6 @@
 #include "flows/internal/homedirectory.h"
 
+#include "global/hash.h"
 #include "membership/imembership.h"
 #include "membership/types/member.h"
 
@@ -49,6 +50,17 @@
     return names;
 }
 
+void HomeDirectory::noteMember(const membership::Member &member, TimePoint now)
+{
+    const PeerId peer = this->idOf(member.name);
+    if (member.state == membership::MemberState::Leaving) {
+        this->leavers.insert(peer);
+    } else {
+        this->leavers.erase(peer);
+    }
+    this->invalidate(now);
+}
+
 void HomeDirectory::invalidate(TimePoint now)
 {
     if (this->startedAt == TimePoint{}) {
@@ -88,7 +100,7 @@
         this->rank(key, entry, now);
     }
     if (entry.view.isHome && !entry.view.isSettled) {
-        this->settle(entry, now);
+        this->settle(key, entry, now);
     }
     if (entry.view.wasSettled && now - entry.lostAt > kAnswersAfterLoss) {
         entry.view.wasSettled = false;
@@ -143,7 +155,24 @@
     return false;
 }
 
-void HomeDirectory::settle(Entry &entry, TimePoint now)
+PeerId HomeDirectory::likelyPredecessor(std::uint64_t key, const HomeView &view) const
+{
+    PeerId best = kNoPeer;
+    for (const PeerId peer : this->leavers) {
+        const bool isBetter = best == kNoPeer
+            || rendezvousScore(key, this->names[peer].str())
+                > rendezvousScore(key, this->names[best].str());
+        if (isBetter && this->reachable(peer) != nullptr) {
+            best = peer;
+        }
+    }
+    if (best != kNoPeer) {
+        return best;
+    }
+    return this->reachable(view.ranks[1]) != nullptr ? view.ranks[1] : kNoPeer;
+}
+
+void HomeDirectory::settle(std::uint64_t key, Entry &entry, TimePoint now)
 {
     HomeView &view = entry.view;
     if (this->reachable(entry.previous) != nullptr) {
@@ -151,7 +180,7 @@
         view.isSettled = this->isTakenOver(entry.previous, entry.since);
         return;
     }
-    view.ask = this->reachable(view.ranks[1]) != nullptr ? view.ranks[1] : kNoPeer;
+    view.ask = this->likelyPredecessor(key, view);
     bool known = now - entry.since >= this->options.takeoverWindow;
     if (this->isYoung(now)) {
         // The predecessor is not known by name, but it is among the next in rank.
--- a/src/flows/internal/homedirectory.h
+++ b/src/flows/internal/homedirectory.h
@@ -47,6 +47,9 @@
     //! Valid until the next call.
     const HomeView &lookup(std::uint64_t key, TimePoint now);
 
+    //! A VM appeared or changed its state.
+    void noteMember(const membership::Member &member, TimePoint now);
+
     //! Rankings may have changed.
     void invalidate(TimePoint now);
 
@@ -79,7 +82,8 @@
     };
 
     void rank(std::uint64_t key, Entry &entry, TimePoint now);
-    void settle(Entry &entry, TimePoint now);
+    void settle(std::uint64_t key, Entry &entry, TimePoint now);
+    PeerId likelyPredecessor(std::uint64_t key, const HomeView &view) const;
     bool isTakenOver(PeerId peer, TimePoint since);
     bool isYoung(TimePoint now) const;
 
@@ -90,6 +94,9 @@
     std::vector<VmName> names;
     std::vector<TimePoint> takenOverAt;
     std::set<PeerId> wanted;
+
+    //! VMs that announced their stop and still run.
+    std::set<PeerId> leavers;
     PeerId self;
     std::uint64_t version = 1;
     TimePoint startedAt{};
--- a/src/flows/internal/recordkeeper.cpp
+++ b/src/flows/internal/recordkeeper.cpp
@@ -63,21 +63,17 @@
     }
     FlowRecord *record = this->table.insert(hash);
     record->upstream = upstream;
-    record->table = table;
     record->placedAt = toFlowTime(now);
     record->lastUsed = record->placedAt;
     record->flags = upstream == table ? 0 : FlowRecord::OffTable;
-    if (table != placement::kNoUpstream) {
-        this->placement.recordAdded(table);
-    }
+    this->placement.recordAdded(this->placement.upstream(upstream).service, hash, upstream);
     return record;
 }
 
 void RecordKeeper::remove(FlowRecord *record, TimePoint now)
 {
-    if (record->table != placement::kNoUpstream) {
-        this->placement.recordRemoved(record->table);
-    }
+    const placement::ServiceIndex service = this->placement.upstream(record->upstream).service;
+    this->placement.recordRemoved(service, record->hash, record->upstream);
     if (record->has(FlowRecord::Admitted)) {
         this->placer.release(record->upstream, now);
     }
--- a/src/flows/tests/fakeplacement.h
+++ b/src/flows/tests/fakeplacement.h
@@ -36,7 +36,7 @@
     }
     std::uint64_t homeKey(placement::ServiceIndex service, std::uint64_t hash) const override
     {
-        return service * 1000 + hash % kSlots;
+        return service * 1000 + hash % 64;
     }
     const placement::UpstreamEntry &upstream(placement::UpstreamIndex index) const override
     {
@@ -62,8 +62,16 @@
         }
     }
     void noteOldestUsed(placement::ServiceIndex, TimePoint) override { ++this->oldestUses; }
-    void recordAdded(placement::UpstreamIndex table) override { ++this->held[table]; }
-    void recordRemoved(placement::UpstreamIndex table) override { --this->held[table]; }
+    void recordAdded(placement::ServiceIndex, std::uint64_t,
+                     placement::UpstreamIndex upstream) override
+    {
+        ++this->held[upstream];
+    }
+    void recordRemoved(placement::ServiceIndex, std::uint64_t,
+                       placement::UpstreamIndex upstream) override
+    {
+        --this->held[upstream];
+    }
 
     //! Sets all slots of \a service.
     void setViews(placement::ServiceIndex service, const placement::SlotView &view)
