--- a/src/operations/internal/platformbackend.cpp
+++ b/src/operations/internal/platformbackend.cpp
@@ -1,5 +1,7 @@
 #include "operations/platformbackend.h"
 
+#include "membership/types/listedvm.h"
+#include "membership/vmlistreader.h"
 #include "net/asioeventloop.h"
 #include "net/curlhttpclient.h"
 #include "operations/configurationapplier.h"
@@ -8,7 +10,6 @@
 #include "operations/types/applyresult.h"
 #include "operations/types/vmaddress.h"
 #include "operations/types/vmanswer.h"
-#include "operations/vmlist.h"
 #include "store/etcdstore.h"
 #include "store/storekeys.h"
 #include "store/types/storedvalue.h"
@@ -88,7 +89,20 @@
         this->state->loop.stop();
     });
     this->state->loop.run();
-    return list ? readVmAddresses(list->value, reason) : std::nullopt;
+    if (!list) {
+        return std::nullopt;
+    }
+    membership::VmListReader reader;
+    const auto listed = reader.read(list->value);
+    if (!listed) {
+        reason = reader.lastReason();
+        return std::nullopt;
+    }
+    std::vector<VmAddress> addresses;
+    for (const membership::ListedVm &vm : *listed) {
+        addresses.push_back({vm.name, vm.dataCentre, vm.admin});
+    }
+    return addresses;
 }
 
 std::vector<VmAnswer> PlatformBackend::callAll(const std::vector<VmAddress> &vms,
--- a/src/placement/tests/fakestore.h
+++ b/src/placement/tests/fakestore.h
@@ -49,7 +49,6 @@
             handler(held.revision, {});
         }
     }
-    void remove(const std::string &, std::int64_t, WriteHandler) override { }
     void grantLease(std::chrono::seconds, LeaseHandler) override { }
     void keepLeaseAlive(LeaseId, LeaseHandler) override { }
     WatchId watch(const std::string &, std::int64_t, WatchHandler) override { return 0; }
