Describe the settings, freeze and the operators' tools, checked against the code

Operators had no pages. configuration.md lists every field with unit, default and limits, freeze.md every automatic action; tests read both pages and compare them with the readers and with the new freeze policy. The policy is not yet asked by the modules that take the actions, and the freeze page says what its test does and does not show.

--- /dev/null
+++ b/src/settings/tests/pagestest.cpp
@@ -0,0 +1,197 @@
+#include "settings/configurationreader.h"
+#include "settings/freezepolicy.h"
+#include "settings/jsonfile.h"
+#include "settings/vmsettingsreader.h"
+
+#include <algorithm>
+#include <charconv>
+#include <criterion/criterion.h>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <set>
+#include <sstream>
+#include <unistd.h>
+
+using namespace radishladder;
+using namespace radishladder::settings;
+
+namespace {
+using Row = std::vector<std::string>;
+
+//! Cells of the table rows of \a page whose first cell is code.
+std::vector<Row> tableRows(const std::string &page)
+{
+    std::vector<Row> rows;
+    std::ifstream file(page);
+    for (std::string line; std::getline(file, line);) {
+        if (!line.starts_with("| `")) {
+            continue;
+        }
+        Row row;
+        std::istringstream cells(line.substr(1));
+        for (std::string cell; std::getline(cells, cell, '|');) {
+            const auto first = cell.find_first_not_of(" `");
+            const auto last = cell.find_last_not_of(" `");
+            row.push_back(first == std::string::npos ? "" : cell.substr(first, last - first + 1));
+        }
+        rows.push_back(row);
+    }
+    return rows;
+}
+
+const char *const kMinimal = R"({"dataCentres": [{"name": "d"}],
+    "services": [{"name": "s", "address": "127.0.0.1", "port": 443, "upstreams": [
+        {"name": "u", "dataCentre": "d", "address": "127.0.0.2", "tunnelPort": 6080}]}]})";
+
+Json::Value minimal()
+{
+    Reason reason;
+    return *parseJson(kMinimal, "minimal", reason);
+}
+
+//! The object that holds the field at \a path of \a json; lists are entered at their first item.
+Json::Value &holder(Json::Value &json, const std::string &path)
+{
+    if (path.starts_with("/services/SERVICE/upstreams/UPSTREAM/")) {
+        return json["services"][0]["upstreams"][0];
+    }
+    if (path.starts_with("/services/SERVICE/")) {
+        return json["services"][0];
+    }
+    return path.starts_with("/dataCentres/SITE/") ? json["dataCentres"][0] : json;
+}
+
+std::string fieldOf(const std::string &path)
+{
+    return path.substr(path.rfind('/') + 1);
+}
+
+std::string plain(const Json::Value &value)
+{
+    return value.isString() ? value.asString() : jsonText(value);
+}
+
+bool isRead(const Json::Value &json)
+{
+    ConfigurationReader reader;
+    return reader.read(json).has_value();
+}
+
+std::set<std::string> namesOf(const std::vector<Row> &rows, const std::string &prefix)
+{
+    std::set<std::string> names;
+    for (const Row &row : rows) {
+        const bool isHere = row[0].starts_with(prefix)
+            && row[0].find('/', prefix.size()) == std::string::npos;
+        if (isHere) {
+            names.insert(row[0].substr(prefix.size()));
+        }
+    }
+    return names;
+}
+
+std::set<std::string> keysOf(const Json::Value &json)
+{
+    const auto names = json.getMemberNames();
+    return {names.begin(), names.end()};
+}
+}
+
+Test(pages, configuration_page_lists_every_field)
+{
+    Json::Value full = minimal();
+    full["services"][0]["upstreams"][0]["httpPort"] = 8080;
+    ConfigurationReader reader;
+    const Json::Value written = configurationJson(*reader.read(full));
+    const auto rows = tableRows("docs/operators/configuration.md");
+    std::set<std::string> top = keysOf(written);
+    // Given by the store, not by the files.
+    top.erase("generation");
+    top.erase("changeId");
+    cr_assert(namesOf(rows, "/") == top);
+    cr_assert(namesOf(rows, "/dataCentres/SITE/") == keysOf(written["dataCentres"][0]));
+    cr_assert(namesOf(rows, "/services/SERVICE/") == keysOf(written["services"][0]));
+    cr_assert(namesOf(rows, "/services/SERVICE/upstreams/UPSTREAM/")
+              == keysOf(written["services"][0]["upstreams"][0]));
+}
+
+Test(pages, configuration_page_gives_defaults_and_limits)
+{
+    ConfigurationReader reader;
+    const Json::Value written = configurationJson(*reader.read(minimal()));
+    for (const Row &row : tableRows("docs/operators/configuration.md")) {
+        if (!row[0].starts_with("/") || row[3] == "none") {
+            continue;
+        }
+        const std::string field = fieldOf(row[0]);
+        Json::Value without = minimal();
+        holder(without, row[0]).removeMember(field);
+        cr_assert_eq(isRead(without), row[3] != "required", "%s", row[0].c_str());
+        if (row[3] != "required") {
+            Json::Value copy = written;
+            const std::string shown = plain(holder(copy, row[0])[field]);
+            cr_assert_eq(shown, row[3], "%s: %s", row[0].c_str(), shown.c_str());
+        }
+        const auto to = row[4].find(" to ");
+        if (to == std::string::npos) {
+            continue;
+        }
+        const std::int64_t least = std::stoll(row[4]);
+        const std::int64_t most = std::stoll(row[4].substr(to + 4));
+        const std::pair<std::int64_t, bool> values[] = {
+            {least, true}, {most, true}, {least - 1, false}, {most + 1, false}};
+        for (const auto &[value, isGood] : values) {
+            Json::Value changed = minimal();
+            holder(changed, row[0])[field] = static_cast<Json::Int64>(value);
+            cr_assert_eq(isRead(changed), isGood, "%s = %ld", row[0].c_str(),
+                         static_cast<long>(value));
+        }
+    }
+}
+
+Test(pages, vm_settings_page_lists_every_field)
+{
+    Reason reason;
+    const auto full = readJsonFile("examples/kozmu/vms/obuda-1.json", reason);
+    cr_assert(full.has_value());
+    const std::string file = std::filesystem::temp_directory_path()
+        / ("radishladder-pages-" + std::to_string(getpid()) + ".json");
+    std::set<std::string> listed;
+    for (const Row &row : tableRows("docs/operators/configuration.md")) {
+        if (row[0].starts_with("/")) {
+            continue;
+        }
+        listed.insert(row[0]);
+        Json::Value without = *full;
+        without.removeMember(row[0]);
+        std::ofstream(file) << jsonText(without);
+        VmSettingsReader reader;
+        cr_assert_eq(reader.read(file).has_value(), row[3] != "required", "%s", row[0].c_str());
+        Json::Value with = *full;
+        with[row[0]] = Json::Value(Json::objectValue);
+        std::ofstream(file) << jsonText(with);
+        cr_assert(!reader.read(file).has_value());
+        cr_assert(reader.lastReason().code != ResultCode::FieldUnknown, "%s", row[0].c_str());
+    }
+    std::filesystem::remove(file);
+    for (const std::string &field : keysOf(*full)) {
+        cr_assert(listed.contains(field), "%s", field.c_str());
+    }
+}
+
+Test(pages, freeze_page_and_policy_agree)
+{
+    std::map<std::string, std::string> listed;
+    for (const Row &row : tableRows("docs/operators/freeze.md")) {
+        listed[row[0]] = row[1];
+    }
+    cr_assert_eq(listed.size(), freezeRules().size());
+    for (const FreezeRule &rule : freezeRules()) {
+        const std::string name(rule.name);
+        cr_assert_eq(listed[name], std::string(rule.goesOn ? "goes on" : "stops"), "%s",
+                     name.c_str());
+        cr_assert(isAllowed(rule.action, false));
+        cr_assert_eq(isAllowed(rule.action, true), rule.goesOn);
+    }
+}
