--- a/src/requests/tests/keyhometest.cpp
+++ b/src/requests/tests/keyhometest.cpp
@@ -88,6 +88,17 @@
         this->run(20ms);
     }
 
+    //! \a viewer takes \a subject for dead.
+    void distrust(const VmName &viewer, const VmName &subject)
+    {
+        for (membership::Member &member : this->vm(viewer).membership.list) {
+            if (member.name == subject) {
+                member.state = membership::MemberState::Dead;
+            }
+        }
+        this->run(20ms);
+    }
+
     std::shared_ptr<FakeResponder> bookAt(const VmName &name, const std::string &key)
     {
         const auto responder = this->vm(name).handle(booking(key));
@@ -156,6 +167,18 @@
     cr_assert_eq(trio.vm(home).client.sentCount, 0);
 }
 
+Test(keyhome, second_vm_that_sees_another_home_refuses_the_claim)
+{
+    Trio trio;
+    const std::vector<VmName> order = trio.order("k");
+    trio.distrust(order[0], order[1]);
+    trio.distrust(order[2], order[0]);
+    const auto responder = trio.bookAt(order[0], "k");
+    trio.deliver();
+    cr_assert_eq(responder->code(), kNotRun);
+    cr_assert_eq(trio.vm(order[0]).client.sentCount, 0);
+}
+
 Test(keyhome, second_vm_answers_after_the_home_died)
 {
     Trio trio;
