Pass TCP between VMs through the link and count refusals apart

Change: TcpLink listens on the listed request and admin addresses, connects on from the caller's own address, delays each piece, and falls silent while the two data centres are cut; the network map may be asked from any thread; refused, failed and unreachable requests are printed apart.

--- a/tools/radishbench/benchrunmeasures.cpp
+++ b/tools/radishbench/benchrunmeasures.cpp
@@ -132,6 +132,9 @@
     measures.uploads = uploads.sent;
     measures.badAnswers = total.bad;
     measures.cutRequests = total.cut;
+    measures.refusedRequests = total.refused;
+    measures.failedRequests = total.failed;
+    measures.unreachableRequests = total.unreachable;
     if (lookups.sent > 0) {
         measures.answeredRatio = ratio(lookups.answered, lookups.sent);
     }
--- a/tools/radishbench/cluster.cpp
+++ b/tools/radishbench/cluster.cpp
@@ -8,11 +8,24 @@
 #include <algorithm>
 
 namespace radishladder::radishbench {
+namespace {
+std::vector<standins::TcpLink::Route> tcpRoutes(const Deployment &deployment)
+{
+    std::vector<standins::TcpLink::Route> routes;
+    for (std::size_t i = 0; i < deployment.vms.size(); ++i) {
+        routes.push_back({deployment.listedVms[i].requests, deployment.vms[i].requests});
+        routes.push_back({deployment.listedVms[i].admin, deployment.vms[i].admin});
+    }
+    return routes;
+}
+}
+
 Cluster::Cluster(const RunOptions &options, Deployment deployment)
     : plan(std::move(deployment)), random(options.seed), storeStandin(this->plan.store),
       fabricStandin(this->plan.fabric, this->plan.vms, this->plan.toCallers, this->random,
                     this->eventLoop),
       linkStandin(this->plan.vms, this->plan.listedVms, this->networkMap, this->eventLoop),
+      tcpLink(tcpRoutes(this->plan), this->networkMap),
       list(this->plan.listedVms, this->storeStandin, this->fabricStandin, this->eventLoop),
       daemons(options.daemon, this->plan.vms, options.logDirectory)
 {
@@ -29,7 +42,8 @@
     }
     this->storeStandin.put(std::string(store::kConfigurationKey), encoded.head);
     this->list.publish();
-    if (!this->storeStandin.start() || !this->fabricStandin.start() || !this->linkStandin.start()) {
+    if (!this->storeStandin.start() || !this->fabricStandin.start() || !this->linkStandin.start()
+        || !this->tcpLink.start()) {
         this->reason = "the store, fabric or link stand-in cannot bind its addresses";
         return false;
     }
--- a/tools/radishbench/cluster.h
+++ b/tools/radishbench/cluster.h
@@ -9,6 +9,7 @@
 #include "standins/linkstandin.h"
 #include "standins/networkmap.h"
 #include "standins/storestandin.h"
+#include "standins/tcplink.h"
 #include "standins/upstreamstandin.h"
 
 #include <memory>
@@ -66,6 +67,7 @@
     standins::StoreStandin storeStandin;
     standins::FabricStandin fabricStandin;
     standins::LinkStandin linkStandin;
+    standins::TcpLink tcpLink;
     PlatformList list;
     std::vector<std::unique_ptr<standins::UpstreamStandin>> hosts;
     VmProcesses daemons;
--- a/tools/radishbench/deployment.cpp
+++ b/tools/radishbench/deployment.cpp
@@ -140,6 +140,8 @@
         const std::uint32_t listed = address(options.network, kListedVmNet, i + 1);
         deployment.listedVms.back().data.address = listed;
         deployment.listedVms.back().peer.address = listed;
+        deployment.listedVms.back().requests.address = listed;
+        deployment.listedVms.back().admin.address = listed;
     }
     return deployment;
 }
--- a/tools/radishbench/resultwriter.cpp
+++ b/tools/radishbench/resultwriter.cpp
@@ -49,6 +49,9 @@
     result["false_not_run"] = json(measures.falseNotRun);
     result["bad_answers"] = json(measures.badAnswers);
     result["cut_requests"] = json(measures.cutRequests);
+    result["refused_requests"] = json(measures.refusedRequests);
+    result["failed_requests"] = json(measures.failedRequests);
+    result["unreachable_requests"] = json(measures.unreachableRequests);
     result["answered_ratio"] = json(measures.answeredRatio);
     result["answered_ratio_uploads"] = json(measures.answeredRatioUploads);
     result["goodput_over_capacity"] = json(measures.goodputOverCapacity);
--- a/tools/radishbench/types/measures.h
+++ b/tools/radishbench/types/measures.h
@@ -27,6 +27,9 @@
     std::uint64_t falseNotRun = 0;
     std::uint64_t badAnswers = 0;
     std::uint64_t cutRequests = 0;
+    std::uint64_t refusedRequests = 0;
+    std::uint64_t failedRequests = 0;
+    std::uint64_t unreachableRequests = 0;
     std::uint64_t requests = 0;
     std::uint64_t lookups = 0;
     std::uint64_t uploads = 0;
--- a/tools/standins/networkmap.cpp
+++ b/tools/standins/networkmap.cpp
@@ -3,6 +3,7 @@
 namespace radishladder::standins {
 void NetworkMap::place(std::uint32_t address, const DataCentreName &dataCentre)
 {
+    const std::scoped_lock lock(this->mutex);
     this->byAddress[address] = dataCentre;
 }
 
@@ -15,11 +16,13 @@
 
 void NetworkMap::cut(const DataCentreName &one, const DataCentreName &other)
 {
+    const std::scoped_lock lock(this->mutex);
     ++this->cuts[ordered(one, other)];
 }
 
 void NetworkMap::heal(const DataCentreName &one, const DataCentreName &other)
 {
+    const std::scoped_lock lock(this->mutex);
     // Overlapping faults may cut the same pair twice: the last one to end heals it.
     const auto found = this->cuts.find(ordered(one, other));
     if (found != this->cuts.end() && --found->second <= 0) {
@@ -29,6 +32,7 @@
 
 bool NetworkMap::isCut(std::uint32_t from, std::uint32_t to) const
 {
+    const std::scoped_lock lock(this->mutex);
     if (this->cuts.empty()) {
         return false;
     }
@@ -39,6 +43,7 @@
 
 std::chrono::microseconds NetworkMap::delay(std::uint32_t from, std::uint32_t to) const
 {
+    const std::scoped_lock lock(this->mutex);
     const DataCentreName *source = this->find(from);
     const DataCentreName *target = this->find(to);
     const bool isFar = source != nullptr && target != nullptr && *source != *target;
--- a/tools/standins/networkmap.h
+++ b/tools/standins/networkmap.h
@@ -5,12 +5,13 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
-#include <set>
+#include <mutex>
 #include <utility>
 
 namespace radishladder::standins {
 
-//! Which address belongs to which data centre, how far they are apart, and what is cut.
+//! Which address belongs to which data centre, how far they are apart, and what is cut. May be used
+//! from any thread.
 class NetworkMap
 {
 public:
@@ -37,6 +38,7 @@
     static Pair ordered(const DataCentreName &one, const DataCentreName &other);
     const DataCentreName *find(std::uint32_t address) const;
 
+    mutable std::mutex mutex;
     std::map<std::uint32_t, DataCentreName> byAddress;
     std::map<Pair, int> cuts;
     std::chrono::microseconds betweenDataCentres{0};
