--- a/src/flows/internal/flowcache.cpp
+++ b/src/flows/internal/flowcache.cpp
@@ -36,8 +36,9 @@
 }
 
 std::optional<placement::UpstreamIndex> FlowCache::find(std::uint64_t hash, FlowTime now,
-                                                        std::chrono::milliseconds trust) const
+                                                        std::chrono::milliseconds trust)
 {
+    this->applyWaiting();
     const Entry *entry = this->entryOf(hash);
     if (entry == nullptr || flowAge(now, entry->stamp) > trust) {
         return std::nullopt;
@@ -45,8 +46,9 @@
     return entry->upstream;
 }
 
-bool FlowCache::isOpening(std::uint64_t hash, placement::UpstreamIndex upstream, FlowTime now) const
+bool FlowCache::isOpening(std::uint64_t hash, placement::UpstreamIndex upstream, FlowTime now)
 {
+    this->applyWaiting();
     // A caller gives up sending its first packet again after about two minutes.
     constexpr std::chrono::milliseconds kOpeningLimit{127000};
     const Entry *entry = this->entryOf(hash);
@@ -57,25 +59,55 @@
 void FlowCache::touch(std::uint64_t hash, placement::UpstreamIndex upstream,
                       const PacketInfo &packet, FlowTime now)
 {
-    Entry *entry = this->entryOf(hash);
+    this->applyWaiting();
+    this->apply({hash, upstream, now, packet.opens, packet.finishes || packet.resets});
+}
+
+void FlowCache::touchSoon(std::uint64_t hash, placement::UpstreamIndex upstream,
+                          const PacketInfo &packet, FlowTime now)
+{
+    // At a million flows the entry lies in main memory, and the verdict need not wait for it.
+    __builtin_prefetch(&this->setOf(hash), 1);
+    Touch &place = this->waiting[(this->oldestWaiting + this->waitingCount) % kWaiting];
+    if (this->waitingCount == kWaiting) {
+        this->apply(place);
+        this->oldestWaiting = (this->oldestWaiting + 1) % kWaiting;
+    } else {
+        ++this->waitingCount;
+    }
+    place = {hash, upstream, now, packet.opens, packet.finishes || packet.resets};
+}
+
+void FlowCache::applyWaiting()
+{
+    for (; this->waitingCount > 0; --this->waitingCount) {
+        this->apply(this->waiting[this->oldestWaiting]);
+        this->oldestWaiting = (this->oldestWaiting + 1) % kWaiting;
+    }
+}
+
+void FlowCache::apply(const Touch &touch)
+{
+    Entry *entry = this->entryOf(touch.hash);
     if (entry == nullptr) {
-        entry = &this->victimOf(hash, now);
+        entry = &this->victimOf(touch.hash, touch.now);
         this->clear(*entry);
-        entry->hash = hash;
+        entry->hash = touch.hash;
         ++this->used;
-    } else if (entry->upstream != upstream) {
+    } else if (entry->upstream != touch.upstream) {
         this->release(*entry);
     }
     const FlowTime admitted = entry->stamp & kAdmitted;
-    entry->upstream = upstream;
-    entry->stamp = now | admitted | (packet.opens ? kOpening : 0);
-    if (packet.finishes || packet.resets) {
+    entry->upstream = touch.upstream;
+    entry->stamp = touch.now | admitted | (touch.opens ? kOpening : 0);
+    if (touch.ends) {
         this->release(*entry);
     }
 }
 
 void FlowCache::markAdmitted(std::uint64_t hash)
 {
+    this->applyWaiting();
     if (Entry *entry = this->entryOf(hash)) {
         this->release(*entry);
         entry->stamp |= kAdmitted;
@@ -84,6 +116,7 @@
 
 void FlowCache::erase(std::uint64_t hash)
 {
+    this->applyWaiting();
     if (Entry *entry = this->entryOf(hash)) {
         this->clear(*entry);
     }
@@ -91,6 +124,7 @@
 
 void FlowCache::correct(std::uint64_t hash, placement::UpstreamIndex upstream)
 {
+    this->applyWaiting();
     if (Entry *entry = this->entryOf(hash)) {
         this->release(*entry);
         entry->upstream = upstream;
@@ -127,6 +161,7 @@
 
 void FlowCache::sweep(FlowTime now, std::chrono::milliseconds limit)
 {
+    this->applyWaiting();
     const std::size_t part = this->sets.size() / kSweepParts + 1;
     for (std::size_t i = 0; i < part; ++i) {
         this->cursor = (this->cursor + 1) & (this->sets.size() - 1);
--- a/src/flows/internal/flowcache.h
+++ b/src/flows/internal/flowcache.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flows/internal/flowtime.h"
+#include "flows/internal/hugepageallocator.h"
 #include "flows/types/packetinfo.h"
 #include "placement/types/upstreamindex.h"
 
@@ -19,15 +20,19 @@
 
     //! Upstream of the flow if it was used at most \a trust ago.
     std::optional<placement::UpstreamIndex> find(std::uint64_t hash, FlowTime now,
-                                                 std::chrono::milliseconds trust) const;
+                                                 std::chrono::milliseconds trust);
 
     //! True if \a upstream was given this flow and only first packets were seen since.
-    bool isOpening(std::uint64_t hash, placement::UpstreamIndex upstream, FlowTime now) const;
+    bool isOpening(std::uint64_t hash, placement::UpstreamIndex upstream, FlowTime now);
 
     //! Notes that \a packet of the flow went to \a upstream.
     void touch(std::uint64_t hash, placement::UpstreamIndex upstream, const PacketInfo &packet,
                FlowTime now);
 
+    //! The same, done when its part of the cache has been loaded from memory.
+    void touchSoon(std::uint64_t hash, placement::UpstreamIndex upstream, const PacketInfo &packet,
+                   FlowTime now);
+
     //! Marks the flow as admitted by this VM, so that its end is reported by takeEnded().
     void markAdmitted(std::uint64_t hash);
 
@@ -58,6 +63,18 @@
         std::array<Entry, kWays> entries;
     };
 
+    struct Touch
+    {
+        std::uint64_t hash = 0;
+        placement::UpstreamIndex upstream = placement::kNoUpstream;
+        FlowTime now = 0;
+        bool opens = false;
+        bool ends = false;
+    };
+    static constexpr std::size_t kWaiting = 8;
+
+    void apply(const Touch &touch);
+    void applyWaiting();
     Set &setOf(std::uint64_t hash);
     const Entry *entryOf(std::uint64_t hash) const;
     Entry *entryOf(std::uint64_t hash);
@@ -65,8 +82,11 @@
     void clear(Entry &entry);
     void release(Entry &entry);
 
-    std::vector<Set> sets;
+    std::vector<Set, HugePageAllocator<Set>> sets;
     std::vector<placement::UpstreamIndex> ended;
+    std::array<Touch, kWaiting> waiting;
+    std::size_t waitingCount = 0;
+    std::size_t oldestWaiting = 0;
     std::size_t used = 0;
     std::size_t cursor = 0;
 };
--- a/src/flows/internal/flowrouter.cpp
+++ b/src/flows/internal/flowrouter.cpp
@@ -96,6 +96,9 @@
     if (!info) {
         return drop(parts.parser.lastReason());
     }
+    const std::uint64_t hash = info->key.hash();
+    // A large table lies in main memory; the look-ups below hide the wait.
+    parts.records.prefetch(hash);
     const auto service = parts.placement.service(info->key.service, info->key.protocol);
     if (!service) {
         return drop(ResultCode::PacketUnknownAddress);
@@ -103,7 +106,7 @@
     FlowPacket flow;
     flow.info = *info;
     flow.source = source;
-    flow.hash = info->key.hash();
+    flow.hash = hash;
     flow.service = *service;
     flow.view = parts.placement.view(*service, flow.hash);
     flow.now = now;
@@ -336,7 +339,7 @@
     if (entry.dataCentreOut || parts.owners.isReused(entry)) {
         return drop(ResultCode::FlowGivenUp);
     }
-    parts.cache.touch(packet.hash, upstream, packet.info, packet.time);
+    parts.cache.touchSoon(packet.hash, upstream, packet.info, packet.time);
     return {.to = entry.upstream.tunnel};
 }
 
--- a/src/flows/internal/recordkeeper.h
+++ b/src/flows/internal/recordkeeper.h
@@ -20,6 +20,8 @@
 
     RecordKeeper(placement::IPlacement &placement, FlowPlacer &placer, std::size_t capacity);
 
+    void prefetch(std::uint64_t hash) const { this->table.prefetch(hash); }
+
     //! Record of the flow; nullptr if there is none.
     FlowRecord *find(const FlowPacket &packet);
     FlowRecord *find(std::uint64_t hash) { return this->table.find(hash); }
--- a/src/flows/internal/recordtable.cpp
+++ b/src/flows/internal/recordtable.cpp
@@ -67,7 +67,7 @@
 
 void RecordTable::grow()
 {
-    std::vector<FlowRecord> old = std::move(this->slots);
+    Slots old = std::move(this->slots);
     this->slots.assign(old.size() + old.size() / 2, FlowRecord{});
     for (const FlowRecord &record : old) {
         if (!record.isEmpty()) {
--- a/src/flows/internal/recordtable.h
+++ b/src/flows/internal/recordtable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "flows/internal/flowrecord.h"
+#include "flows/internal/hugepageallocator.h"
 
 #include <vector>
 
@@ -12,6 +13,12 @@
 public:
     explicit RecordTable(std::size_t capacity);
 
+    //! Starts to load the place of a flow's record.
+    void prefetch(std::uint64_t hash) const
+    {
+        __builtin_prefetch(&this->slots[this->homeSlot(hash)], 1);
+    }
+
     FlowRecord *find(std::uint64_t hash);
 
     //! Empty record for a \a hash that is not in the table; nullptr if the table is full. The
@@ -27,6 +34,8 @@
     FlowRecord &slot(std::size_t index) { return this->slots[index]; }
 
 private:
+    using Slots = std::vector<FlowRecord, HugePageAllocator<FlowRecord>>;
+
     std::size_t homeSlot(std::uint64_t hash) const;
     std::size_t next(std::size_t index) const;
     FlowRecord *probe(std::uint64_t hash);
@@ -34,6 +43,6 @@
 
     std::size_t capacity;
     std::size_t used = 0;
-    std::vector<FlowRecord> slots;
+    Slots slots;
 };
 }
