--- a/src/flows/internal/homedirectory.cpp
+++ b/src/flows/internal/homedirectory.cpp
@@ -97,7 +97,7 @@
     }
     Entry &entry = this->entries[key];
     if (entry.version != this->version) {
-        this->rank(key, entry, now);
+        this->rank(key, entry);
     }
     if (entry.view.isHome && !entry.view.isSettled) {
         this->settle(key, entry, now);
@@ -108,7 +108,7 @@
     return entry.view;
 }
 
-void HomeDirectory::rank(std::uint64_t key, Entry &entry, TimePoint now)
+void HomeDirectory::rank(std::uint64_t key, Entry &entry)
 {
     const bool isNew = entry.version == 0;
     const HomeView old = entry.view;
@@ -128,7 +128,8 @@
         return;
     }
     if (entry.view.isHome && !old.isHome) {
-        entry.since = now;
+        // Noticed only now, but it happened when the rankings last changed.
+        entry.since = this->changedAt;
         entry.previous = old.ranks[0];
         // Whoever loses the duty and gets it back within the window has missed nothing that counts.
         entry.view.isSettled = false;
@@ -136,7 +137,7 @@
     } else if (!entry.view.isHome && old.isHome) {
         entry.view.wasSettled = old.isSettled;
         entry.view.isSettled = false;
-        entry.lostAt = now;
+        entry.lostAt = this->changedAt;
     }
 }
 
--- a/src/flows/internal/homedirectory.h
+++ b/src/flows/internal/homedirectory.h
@@ -81,7 +81,7 @@
         TimePoint lostAt{};
     };
 
-    void rank(std::uint64_t key, Entry &entry, TimePoint now);
+    void rank(std::uint64_t key, Entry &entry);
     void settle(std::uint64_t key, Entry &entry, TimePoint now);
     PeerId likelyPredecessor(std::uint64_t key, const HomeView &view) const;
     bool isTakenOver(PeerId peer, TimePoint since);
