--- a/src/requests/internal/enginestate.h
+++ b/src/requests/internal/enginestate.h
@@ -37,6 +37,7 @@
     // Arrival.
     std::shared_ptr<Job> makeJob(net::HttpRequest request,
                                  std::shared_ptr<net::IHttpResponder> responder);
+    bool isFromVm(const net::HttpRequest &request) const;
     void refuse(net::IHttpResponder &responder, ResultCode code, const std::string &detail);
     void handleKeyed(const JobPointer &job);
     void applyVerdict(const JobPointer &job, KeyVerdict verdict, const net::HttpAnswer &answer);
--- a/src/requests/internal/job.h
+++ b/src/requests/internal/job.h
@@ -29,6 +29,9 @@
     bool wasHandedOver = false;
     bool isIdempotent = true;
 
+    //! The VM that handed it over answers for its key.
+    bool isClaimed = false;
+
     //! Set if the request runs at most once under a key that this VM answers for.
     std::optional<KeyId> key;
 
--- a/src/requests/internal/requestattempts.cpp
+++ b/src/requests/internal/requestattempts.cpp
@@ -32,6 +32,17 @@
 constexpr milliseconds kShortWait{1000};
 constexpr int kLatencyWeight = 8;
 
+//! True if \a code says that the request that it answers has not run.
+bool meansNotRun(ResultCode code)
+{
+    constexpr std::array kCodes = {
+        ResultCode::RequestNotRun,         ResultCode::RequestOverload,
+        ResultCode::RequestDeadlinePassed, ResultCode::RequestStopping,
+        ResultCode::RequestMalformed,      ResultCode::RequestTooLarge,
+        ResultCode::RequestUnknownService, ResultCode::RequestHeaderInvalid};
+    return std::ranges::find(kCodes, code) != kCodes.end();
+}
+
 const settings::Service *findService(const settings::Configuration &configuration,
                                      const ServiceName &name)
 {
@@ -52,8 +63,10 @@
     }
     const auto configuration = this->parts.source.current();
     const settings::Service *service = findService(*configuration, job->service.name);
-    const bool holdsNone = service == nullptr || this->ownSlots(*service) == 0;
-    if (holdsNone && !job->wasHandedOver && !job->wasSent) {
+    const auto waiting = static_cast<int>(this->queue.ahead(*job));
+    const bool isBehind = service == nullptr || waiting >= this->ownSlots(*service);
+    const bool mayHandOver = job->key || !job->wasHandedOver;
+    if (isBehind && mayHandOver && !job->wasSent) {
         const std::optional<VmName> holder = this->holderElsewhere(*job);
         if (holder) {
             this->handOver(job, *holder);
@@ -249,7 +262,8 @@
     job->upstream = {};
     job->sentAt = now;
     net::HttpCall call = this->callFor(*job, net::endpointText(member->requests), now);
-    call.headers.insert_or_assign(std::string(kHopHeader), std::string(1, '1'));
+    call.headers.insert_or_assign(std::string(kHopHeader),
+                                  job->key ? std::string(kClaimedHop) : std::string("1"));
     job->call =
         this->parts.client.send(std::move(call), [this, job](const net::HttpResult &result) {
             this->finishHandOver(job, result);
@@ -265,12 +279,14 @@
         const auto code = std::ranges::find_if(resultCodes(), [&](const ResultCodeInfo &row) {
             return std::to_string(static_cast<int>(row.code)) == text;
         });
+        const ResultCode outcome =
+            code == resultCodes().end() ? ResultCode::RequestOutcomeUnknown : code->code;
+        job->wasSent = !meansNotRun(outcome);
         net::HttpAnswer answer = result.answer;
         for (const char *name : kHopByHopHeaders) {
             answer.headers.erase(name);
         }
-        this->answer(job, std::move(answer),
-                     code == resultCodes().end() ? ResultCode::RequestOutcomeUnknown : code->code);
+        this->answer(job, std::move(answer), outcome);
         return;
     }
     job->wasSent = result.anythingSent;
--- a/src/requests/internal/requestengine.cpp
+++ b/src/requests/internal/requestengine.cpp
@@ -4,6 +4,7 @@
 #include "global/iclock.h"
 #include "global/irandom.h"
 #include "membership/imembership.h"
+#include "membership/types/member.h"
 #include "net/ihttpresponder.h"
 #include "requests/internal/enginestate.h"
 #include "requests/internal/outcomeanswer.h"
@@ -15,6 +16,8 @@
 #include "telemetry/imetrics.h"
 #include "upstreams/iupstreams.h"
 
+#include <algorithm>
+
 namespace radishladder::requests {
 RequestEngine::RequestEngine(const RequestSurroundings &surroundings, const RequestOptions &options)
     : state(std::make_unique<State>(surroundings, options))
@@ -81,7 +84,7 @@
     job->deadline = job->arrivedAt + *left;
     this->retries.noteRequest();
     this->jobs.emplace(job->number, job);
-    if (job->isIdempotent) {
+    if (job->isIdempotent || job->isClaimed) {
         this->place(job);
     } else {
         this->handleKeyed(job);
@@ -97,12 +100,24 @@
         + std::to_string(job->number);
     job->isIdempotent = isIdempotent(request.method);
     job->wasHandedOver = request.headers.contains(kHopHeader);
+    // A caller that claims a key for itself would get around the home.
+    job->isClaimed =
+        net::headerValue(request.headers, kHopHeader) == kClaimedHop && this->isFromVm(request);
     job->request = std::move(request);
     job->responder = std::move(responder);
     job->arrivedAt = this->parts.clock.now();
     return job;
 }
 
+bool RequestEngine::State::isFromVm(const net::HttpRequest &request) const
+{
+    const std::vector<membership::Member> members = this->parts.membership.members();
+    return std::ranges::any_of(members, [&](const membership::Member &member) {
+        return request.from.address == member.data.address
+            || request.from.address == member.requests.address;
+    });
+}
+
 void RequestEngine::State::handleKeyed(const JobPointer &job)
 {
     const std::string key = net::headerValue(job->request.headers, kIdempotencyKeyHeader);
--- a/src/requests/requestheaders.h
+++ b/src/requests/requestheaders.h
@@ -21,4 +21,7 @@
 
 //! Set on a request that one VM has handed to another, which then keeps it.
 inline constexpr std::string_view kHopHeader = "X-Radishladder-Hop";
+
+//! Value of the hop header if the sender answers for the request's key.
+inline constexpr std::string_view kClaimedHop = "claimed";
 }
--- a/src/requests/tests/interleavingtest.cpp
+++ b/src/requests/tests/interleavingtest.cpp
@@ -39,6 +39,11 @@
         for (auto &vm : this->vms) {
             vm->membership.list = members;
         }
+        // Half of the VMs hold no slot and hand over what they should run.
+        for (int i = 0; i < kVms; ++i) {
+            this->vms[i]->upstreams.holding = {members[0].name, members[1].name};
+            this->vms[i]->upstreams.slots = i < 2 ? 3 : 0;
+        }
         for (int i = 0; i < 40; ++i) {
             this->pass(1s);
         }
@@ -220,7 +225,8 @@
         net::HttpRequest request{.method = call.call.method,
                                  .path = call.call.url.substr(call.call.url.find('/', 7)),
                                  .headers = call.call.headers,
-                                 .body = call.call.body};
+                                 .body = call.call.body,
+                                 .from = this->vms[0]->membership.list[0].requests};
         const auto relay = std::make_shared<Relay>(call, fate == 2);
         this->relays.emplace_back(target, relay);
         this->vms[target]->engine.handle(std::move(request), relay);
@@ -323,7 +329,7 @@
 void finish(Network &network)
 {
     for (int round = 0; round < 40; ++round) {
-        for (int i = 0; i < 20; ++i) {
+        for (int i = 0; i < 100; ++i) {
             network.datagram(0, 0);
             network.call(i % kVms, 1);
         }
--- a/src/requests/tests/requestenginetest.cpp
+++ b/src/requests/tests/requestenginetest.cpp
@@ -256,3 +256,15 @@
     lone.handle(std::move(handedOver));
     cr_assert(lone.vm.client.calls.empty());
 }
+
+Test(requestengine, caller_cannot_claim_a_key_for_itself)
+{
+    Lone lone;
+    for (int i = 0; i < 2; ++i) {
+        net::HttpRequest request = booking("k");
+        request.headers[std::string(kHopHeader)] = kClaimedHop;
+        request.from = {0x0a000001, 999};
+        lone.handle(std::move(request));
+    }
+    cr_assert_eq(lone.vm.client.sentCount, 1);
+}
