--- a/src/upstreams/internal/upstreamentry.h
+++ b/src/upstreams/internal/upstreamentry.h
@@ -34,9 +34,15 @@
 
     bool isOut() const { return this->upstream.drain || this->dataCentreOut; }
 
+    //! Without a port for requests and load queries nothing can prove it or show it cold.
+    bool isProvable() const { return this->upstream.http.port != 0; }
+
     UpstreamState state(TimePoint now) const
     {
-        return this->isOut() ? UpstreamState::Leaving : this->tracker.state(now);
+        if (this->isOut()) {
+            return UpstreamState::Leaving;
+        }
+        return this->isProvable() ? this->tracker.state(now) : UpstreamState::Ready;
     }
 
     ResultCode reason() const
--- a/src/upstreams/internal/upstreams.cpp
+++ b/src/upstreams/internal/upstreams.cpp
@@ -55,7 +55,7 @@
 bool Upstreams::admitRequest(const UpstreamName &upstream, TimePoint now)
 {
     Entry *entry = this->find(upstream);
-    if (entry == nullptr || this->parts->wasPaused(now)
+    if (entry == nullptr || this->parts->wasPaused(now) || !entry->isProvable()
         || entry->state(now) > UpstreamState::Ready) {
         return false;
     }
@@ -95,7 +95,7 @@
         return false;
     }
     const std::optional<int> rate = entry->tracker.flowAllowance();
-    if (rate) {
+    if (rate && entry->isProvable()) {
         const int ownRate = ledger.share(subject, {}, *rate, now);
         if (ownRate == 0 || now < entry->nextFlowAt) {
             return false;
--- a/src/upstreams/tests/upstreamstest.cpp
+++ b/src/upstreams/tests/upstreamstest.cpp
@@ -345,3 +345,17 @@
         RC_ASSERT(fleet.admittedAtOnce() == (isWarm ? 3 : 1));
     }));
 }
+
+Test(upstreams, upstream_that_cannot_be_probed_counts_as_ready)
+{
+    Fleet fleet(3);
+    settings::Configuration changed = fleet.configuration;
+    ++changed.generation;
+    changed.services[0].upstreams[0].http.port = 0;
+    fleet.holder.accept(changed);
+    fleet.settle();
+    cr_assert_eq(fleet.vms[0]->upstreams.state(kHost), UpstreamState::Ready);
+    cr_assert(fleet.vms[0]->upstreams.admitFlow(kHost, fleet.clock.now()));
+    cr_assert(fleet.vms[0]->upstreams.admitFlow(kHost, fleet.clock.now()));
+    cr_assert(!fleet.vms[0]->upstreams.admitRequest(kHost, fleet.clock.now()));
+}
