Serve until the fabric stops handing work over; keep duties out of data centres that are out

Change: after SIGTERM everything is served as before until nothing has arrived for a second (15 s at most), then the VM refuses, hands over and ends; ranked() leaves out VMs of data centres that are out, unless none is left.

--- a/src/app/datapath.cpp
+++ b/src/app/datapath.cpp
@@ -67,6 +67,9 @@
     if (!socket) {
         return;
     }
+    if (source == flows::PacketSource::Fabric) {
+        this->arrivedAt = this->clock.now();
+    }
     socket->receive([this, source](std::span<std::uint8_t> packet, const net::Endpoint &) {
         this->dispatch(packet, source);
     });
--- a/src/app/datapath.h
+++ b/src/app/datapath.h
@@ -6,6 +6,7 @@
 #include "net/types/endpoint.h"
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -43,6 +44,9 @@
     bool isHealthy() const override;
     Reason lastReason() const override;
 
+    //! When the fabric last handed over a packet.
+    std::chrono::steady_clock::time_point lastArrival() const { return this->arrivedAt; }
+
 private:
     void drain(flows::PacketSource source);
     void dispatch(std::span<std::uint8_t> packet, flows::PacketSource source);
@@ -57,6 +61,7 @@
     telemetry::ICounter &relayed;
     std::map<ResultCode, telemetry::ICounter *> drops;
     std::array<std::unique_ptr<net::BatchSocket>, 3> sockets;
+    std::chrono::steady_clock::time_point arrivedAt{};
     Reason reason;
 };
 }
--- a/src/app/fleet.cpp
+++ b/src/app/fleet.cpp
@@ -57,6 +57,16 @@
         this->transport.useAddresses(list);
     });
     this->followVmList(timeLine);
+    // Subscribed before the parts that rank VMs, so that they see the new ranks.
+    this->configuration.subscribe([this](const settings::Configuration &accepted) {
+        std::set<DataCentreName> out;
+        for (const settings::DataCentre &dataCentre : accepted.dataCentres) {
+            if (dataCentre.out) {
+                out.insert(dataCentre.name);
+            }
+        }
+        this->membership.keepOutOfDuties(out);
+    });
 }
 
 void Fleet::followVmList(telemetry::ITimeLine &timeLine)
--- a/src/app/requestfront.cpp
+++ b/src/app/requestfront.cpp
@@ -1,5 +1,6 @@
 #include "app/requestfront.h"
 
+#include "global/iclock.h"
 #include "net/ieventloop.h"
 #include "net/pistachehttpserver.h"
 #include "net/types/httprequest.h"
@@ -7,8 +8,8 @@
 
 namespace radishladder::app {
 RequestFront::RequestFront(const net::Endpoint &local, requests::IRequestHandler &handler,
-                           net::IEventLoop &loop)
-    : handler(handler), loop(loop),
+                           net::IEventLoop &loop, const IClock &clock)
+    : handler(handler), loop(loop), clock(clock),
       server(std::make_unique<net::PistacheHttpServer>(net::HttpServerOptions{.local = local}))
 { }
 
@@ -25,6 +26,7 @@
         [this](net::HttpRequest request, std::shared_ptr<net::IHttpResponder> responder) {
             this->loop.post(
                 [this, request = std::move(request), responder = std::move(responder)]() mutable {
+                    this->arrivedAt = this->clock.now();
                     this->handler.handle(std::move(request), std::move(responder));
                 });
         });
--- a/src/app/requestfront.h
+++ b/src/app/requestfront.h
@@ -4,8 +4,12 @@
 
 #include "net/types/endpoint.h"
 
+#include <chrono>
 #include <memory>
 
+namespace radishladder {
+class IClock;
+}
 namespace radishladder::net {
 class IEventLoop;
 class IHttpServer;
@@ -21,7 +25,7 @@
 {
 public:
     RequestFront(const net::Endpoint &local, requests::IRequestHandler &handler,
-                 net::IEventLoop &loop);
+                 net::IEventLoop &loop, const IClock &clock);
     ~RequestFront() override;
 
     std::string name() const override;
@@ -30,9 +34,14 @@
     bool isHealthy() const override;
     Reason lastReason() const override;
 
+    //! When the last request arrived.
+    std::chrono::steady_clock::time_point lastArrival() const { return this->arrivedAt; }
+
 private:
     requests::IRequestHandler &handler;
     net::IEventLoop &loop;
+    const IClock &clock;
+    std::chrono::steady_clock::time_point arrivedAt{};
     std::unique_ptr<net::IHttpServer> server;
 };
 }
--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -22,6 +22,7 @@
 #include "telemetry/prometheusmetrics.h"
 #include "telemetry/timeline.h"
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <sys/signalfd.h>
@@ -32,6 +33,12 @@
 constexpr std::chrono::milliseconds kSupervisionPeriod{100};
 constexpr std::chrono::milliseconds kStopCheck{20};
 
+//! Without arrivals for this long the fabric hands this VM nothing any more.
+constexpr std::chrono::milliseconds kQuietBeforeStop{1000};
+
+//! A stopping VM serves what still arrives for this long at most.
+constexpr std::chrono::seconds kLongestService{15};
+
 int exitCodeOf(ResultCode code)
 {
     return static_cast<int>(code) / 100;
@@ -58,6 +65,7 @@
     std::unique_ptr<Running> running;
     int signals = -1;
     bool stopping = false;
+    bool refusing = false;
     int exitCode = 0;
 };
 
@@ -77,7 +85,7 @@
           admin(parts.settings.admin, parts.metrics, [&parts] { return parts.ready.load(); }),
           dataPath(parts.settings.data, *this->flows.router, parts.clock, parts.loop,
                    parts.metrics),
-          front(parts.settings.requests, *this->requests.handler, parts.loop)
+          front(parts.settings.requests, *this->requests.handler, parts.loop, parts.clock)
     {
         this->admin.serveCalls(this->calls, parts.loop);
         this->admin.servePath(
@@ -179,15 +187,31 @@
     parts.stopping = true;
     parts.ready = false;
     parts.timeLine.record({.kind = "vm.stopping"});
-    running.requests.handler->stopAccepting();
     running.fleet.membership.announceLeaving();
     running.flows.router->prepareStop(parts.clock.now());
-    parts.loop.every(kStopCheck, [this, &parts, &running] {
-        if (running.requests.handler->running() == 0
-            && running.flows.router->isReadyToStop(parts.clock.now())) {
-            this->finishStop();
-        }
-    });
+    const auto stopBegan = parts.clock.now();
+    parts.loop.every(kStopCheck, [this, stopBegan] { this->continueStop(stopBegan); });
+}
+
+void VmProcess::continueStop(std::chrono::steady_clock::time_point stopBegan)
+{
+    Parts &parts = *this->parts;
+    Running &running = *parts.running;
+    const auto now = parts.clock.now();
+    // The fabric learns late that this VM is leaving; until nothing arrives any more everything is
+    // served as before.
+    const auto lastArrival =
+        std::max({stopBegan, running.dataPath.lastArrival(), running.front.lastArrival()});
+    const bool isQuiet = now - lastArrival >= kQuietBeforeStop;
+    if (!parts.refusing && (isQuiet || now - stopBegan >= kLongestService)) {
+        parts.refusing = true;
+        parts.timeLine.record({.kind = "vm.refusing"});
+        running.requests.handler->stopAccepting();
+    }
+    if (parts.refusing && running.requests.handler->running() == 0
+        && running.flows.router->isReadyToStop(now)) {
+        this->finishStop();
+    }
 }
 
 void VmProcess::finishStop()
--- a/src/app/vmprocess.h
+++ b/src/app/vmprocess.h
@@ -3,6 +3,7 @@
 #include "global/reason.h"
 #include "settings/types/vmsettings.h"
 
+#include <chrono>
 #include <memory>
 
 namespace radishladder::app {
@@ -24,6 +25,7 @@
     void startTicks();
     void watchSignals();
     void beginStop();
+    void continueStop(std::chrono::steady_clock::time_point stopBegan);
     void finishStop();
 
     std::unique_ptr<Parts> parts;
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -84,11 +84,16 @@
 std::vector<VmName> Membership::ranked(std::uint64_t key, std::size_t count) const
 {
     std::vector<std::pair<std::uint64_t, const VmName *>> scored;
+    std::vector<std::pair<std::uint64_t, const VmName *>> keptOut;
     for (const auto &[name, record] : this->state->table.all()) {
         if (mayHoldDuties(record.member.state)) {
-            scored.emplace_back(rendezvousScore(key, name.str()), &name);
+            const bool isOut = this->state->dataCentresOut.contains(record.member.dataCentre);
+            (isOut ? keptOut : scored).emplace_back(rendezvousScore(key, name.str()), &name);
         }
     }
+    if (scored.empty()) {
+        scored = std::move(keptOut);
+    }
     const std::size_t kept = std::min(count, scored.size());
     std::ranges::partial_sort(scored, scored.begin() + static_cast<std::ptrdiff_t>(kept),
                               [](const auto &left, const auto &right) {
@@ -102,6 +107,11 @@
     return names;
 }
 
+void Membership::keepOutOfDuties(const std::set<DataCentreName> &dataCentres)
+{
+    this->state->dataCentresOut = dataCentres;
+}
+
 bool Membership::isConfident(TimePoint now) const
 {
     const State &own = *this->state;
--- a/src/membership/internal/membershipstate.h
+++ b/src/membership/internal/membershipstate.h
@@ -21,6 +21,9 @@
 //! What Membership keeps, and how it handles messages and time.
 struct Membership::State
 {
+    //! Data centres whose VMs get no duties.
+    std::set<DataCentreName> dataCentresOut;
+
     State(const Member &self, IPeerTransport &transport, IRandom &random, const IClock &clock,
           telemetry::ITimeLine &timeLine, telemetry::IMetrics &metrics);
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -59,6 +60,9 @@
     //! Takes the platform's list; ignored unless \a revision is newer than the last one.
     void applyVmList(std::int64_t revision, const std::vector<ListedVm> &list);
 
+    //! Gives the VMs of \a dataCentres no duties, unless no other VM is left.
+    void keepOutOfDuties(const std::set<DataCentreName> &dataCentres);
+
     //! Call every 50 ms or so.
     void tick();
 
--- a/src/membership/tests/membershiptest.cpp
+++ b/src/membership/tests/membershiptest.cpp
@@ -305,3 +305,23 @@
         cr_assert_leq(largest, 1400);
     }
 }
+
+Test(membership, vms_of_a_data_centre_that_is_out_get_no_duties)
+{
+    Fleet fleet(6);
+    fleet.run(5s);
+    auto &membership = fleet.at(0).membership;
+    std::set<DataCentreName> out;
+    out.insert(membership.members().front().dataCentre);
+    membership.keepOutOfDuties(out);
+    for (std::uint64_t key = 0; key < 100; ++key) {
+        for (const VmName &name : membership.ranked(key, 6)) {
+            cr_assert(!out.contains(membership.find(name)->dataCentre));
+        }
+    }
+    for (const auto &member : membership.members()) {
+        out.insert(member.dataCentre);
+    }
+    membership.keepOutOfDuties(out);
+    cr_assert_eq(membership.ranked(1, 6).size(), 6, "somebody has to serve when all are out");
+}
--- a/src/placement/internal/epochmaker.cpp
+++ b/src/placement/internal/epochmaker.cpp
@@ -74,6 +74,8 @@
 {
     membership.subscribe(
         [this](const membership::Member &) { this->isResponsibilityStale = true; });
+    configuration.subscribe(
+        [this](const settings::Configuration &) { this->isResponsibilityStale = true; });
     upstreams.subscribe(
         [this](const UpstreamName &name, upstreams::UpstreamState, upstreams::UpstreamState to) {
             if (to == upstreams::UpstreamState::Gone || to == upstreams::UpstreamState::Leaving) {
