--- a/tools/radishbench/benchrun.cpp
+++ b/tools/radishbench/benchrun.cpp
@@ -72,6 +72,7 @@
     net::IEventLoop &loop = this->cluster.loop();
     const auto now = std::chrono::steady_clock::now();
     this->idleCpu = this->meter.cpuCorePercent(now);
+    this->idleControlBytes = this->meter.controlBytesPerSecond(now);
     this->meter.begin(now);
     this->loadBegan = now;
     this->record.begin(now);
@@ -89,6 +90,7 @@
     this->load.end();
     this->rollingRestart.cease();
     this->loadedCpu = this->meter.cpuCorePercent(this->loadEnded);
+    this->controlDatagrams = this->meter.controlDatagramsPerSecond(this->loadEnded);
     this->controlBytes = this->meter.controlBytesPerSecond(this->loadEnded);
     this->checkIdle(this->loadEnded);
 }
--- a/tools/radishbench/benchrun.h
+++ b/tools/radishbench/benchrun.h
@@ -70,7 +70,9 @@
     VmMeter meter;
     std::optional<double> idleCpu;
     std::optional<double> loadedCpu;
+    std::optional<double> idleControlBytes;
     std::optional<double> controlBytes;
+    std::optional<double> controlDatagrams;
     TimePoint loadBegan;
     TimePoint loadEnded;
     TimePoint ended;
--- a/tools/radishbench/benchrunmeasures.cpp
+++ b/tools/radishbench/benchrunmeasures.cpp
@@ -83,6 +83,7 @@
     this->measureUpstreams(measures);
     measures.imbalance = this->imbalance();
     measures.secondsToLastPacket = this->departures.secondsToLastPacket();
+    measures.secondsToLastRequest = this->departures.secondsToLastRequest();
     measures.secondsToLastRelay = this->departures.secondsToLastRelay();
     measures.secondsToLastNewWork = this->departures.secondsToLastNewWork();
     measures.secondsToConfig = this->watch.secondsToConfig(this->ended);
@@ -90,6 +91,8 @@
         measures.configReverted = this->watch.reverted();
     }
     measures.controlBytesPerVmSecond = this->controlBytes;
+    measures.controlBytesPerVmSecondIdle = this->idleControlBytes;
+    measures.controlDatagramsPerVmSecond = this->controlDatagrams;
     measures.cpuCorePercent = this->idleCpu;
     measures.cpuCorePercentLoaded = this->loadedCpu;
     measures.rssMegabytes = this->meter.largestMegabytes();
--- a/tools/radishbench/departures.cpp
+++ b/tools/radishbench/departures.cpp
@@ -53,6 +53,7 @@
     for (const auto &host : this->cluster.upstreams()) {
         if (host->description().dataCentre.str() == dataCentre) {
             noteLast(this->lastPacket, found->second, host->log().lastPacket);
+            noteLast(this->lastRequest, found->second, host->log().lastRequest);
         }
     }
     const auto relayed = this->cluster.link().lastRelayTo(DataCentreName(dataCentre));
--- a/tools/radishbench/departures.h
+++ b/tools/radishbench/departures.h
@@ -36,9 +36,11 @@
 
     bool wasKilled(const std::string &upstream, TimePoint from, TimePoint until) const;
 
-    //! Longest time from an accepted change to the last packet, relayed packet or new work;
+    //! Longest time from an accepted change to the last packet or request, the last request alone,
+    //! the last relayed packet, or the last new work;
     //! std::nullopt if nothing left.
     std::optional<double> secondsToLastPacket() const { return this->lastPacket; }
+    std::optional<double> secondsToLastRequest() const { return this->lastRequest; }
     std::optional<double> secondsToLastRelay() const { return this->lastRelay; }
     std::optional<double> secondsToLastNewWork() const { return this->lastNewWork; }
 
@@ -49,6 +51,7 @@
     std::map<std::string, std::vector<TimePoint>> dataCentreHistory;
     std::map<std::string, std::vector<TimePoint>> kills;
     std::optional<double> lastPacket;
+    std::optional<double> lastRequest;
     std::optional<double> lastRelay;
     std::optional<double> lastNewWork;
 };
--- a/tools/radishbench/resultwriter.cpp
+++ b/tools/radishbench/resultwriter.cpp
@@ -64,11 +64,14 @@
 void addOperations(Json::Value &result, const Measures &measures)
 {
     result["seconds_to_last_packet"] = json(measures.secondsToLastPacket);
+    result["seconds_to_last_request"] = json(measures.secondsToLastRequest);
     result["seconds_to_last_relay"] = json(measures.secondsToLastRelay);
     result["seconds_to_last_new_work"] = json(measures.secondsToLastNewWork);
     result["seconds_to_config"] = json(measures.secondsToConfig);
     result["config_reverted"] = json(measures.configReverted);
     result["control_bytes_per_vm_s"] = json(measures.controlBytesPerVmSecond);
+    result["control_bytes_per_vm_s_idle"] = json(measures.controlBytesPerVmSecondIdle);
+    result["control_datagrams_per_vm_s"] = json(measures.controlDatagramsPerVmSecond);
     result["cpu_core_percent"] = json(measures.cpuCorePercent);
     result["cpu_core_percent_loaded"] = json(measures.cpuCorePercentLoaded);
     result["rss_mb"] = json(measures.rssMegabytes);
--- a/tools/radishbench/types/measures.h
+++ b/tools/radishbench/types/measures.h
@@ -45,11 +45,14 @@
     std::optional<std::uint64_t> coldOverload;
     std::optional<std::uint64_t> unwarnedOverload;
     std::optional<double> secondsToLastPacket;
+    std::optional<double> secondsToLastRequest;
     std::optional<double> secondsToLastRelay;
     std::optional<double> secondsToLastNewWork;
     std::optional<double> secondsToConfig;
     std::optional<std::uint64_t> configReverted;
     std::optional<double> controlBytesPerVmSecond;
+    std::optional<double> controlBytesPerVmSecondIdle;
+    std::optional<double> controlDatagramsPerVmSecond;
 
     //! Busiest VM before the load, and during it.
     std::optional<double> cpuCorePercent;
--- a/tools/radishbench/vmmeter.cpp
+++ b/tools/radishbench/vmmeter.cpp
@@ -22,8 +22,9 @@
         if (const auto time = processorTime(process); process > 0 && time) {
             this->timeAtBegin[process] = *time;
         }
-        this->bytesAtBegin[i] =
-            this->cluster.link().peerBytesFrom(this->cluster.deployment().vms[i].name);
+        const VmName &name = this->cluster.deployment().vms[i].name;
+        this->bytesAtBegin[i] = this->cluster.link().peerBytesFrom(name);
+        this->datagramsAtBegin[i] = this->cluster.link().peerDatagramsFrom(name);
     }
 }
 
@@ -53,11 +54,24 @@
 }
 
 std::optional<double> VmMeter::controlBytesPerSecond(TimePoint now) const
+{
+    return this->mostPerSecond(&standins::LinkStandin::peerBytesFrom, this->bytesAtBegin, now);
+}
+
+std::optional<double> VmMeter::controlDatagramsPerSecond(TimePoint now) const
+{
+    return this->mostPerSecond(&standins::LinkStandin::peerDatagramsFrom, this->datagramsAtBegin,
+                               now);
+}
+
+std::optional<double> VmMeter::mostPerSecond(Counter counter,
+                                             const std::map<std::size_t, std::uint64_t> &atBegin,
+                                             TimePoint now) const
 {
     std::uint64_t most = 0;
-    for (const auto &[index, before] : this->bytesAtBegin) {
+    for (const auto &[index, before] : atBegin) {
         const VmName &name = this->cluster.deployment().vms[index].name;
-        most = std::max(most, this->cluster.link().peerBytesFrom(name) - before);
+        most = std::max(most, (this->cluster.link().*counter)(name)-before);
     }
     const double seconds = secondsBetween(this->began, now);
     return most > 0 && seconds > 0 ? std::make_optional(static_cast<double>(most) / seconds)
--- a/tools/radishbench/vmmeter.h
+++ b/tools/radishbench/vmmeter.h
@@ -1,11 +1,17 @@
 #pragma once
 
+#include "global/name.h"
+
 #include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <sys/types.h>
 
+namespace radishladder::standins {
+class LinkStandin;
+}
+
 namespace radishladder::radishbench {
 class Cluster;
 
@@ -31,13 +37,23 @@
     //! VM sent any.
     std::optional<double> controlBytesPerSecond(TimePoint now) const;
 
+    //! The same counted in datagrams.
+    std::optional<double> controlDatagramsPerSecond(TimePoint now) const;
+
     std::optional<double> largestMegabytes() const { return this->largest; }
 
 private:
     const Cluster &cluster;
     TimePoint began;
     std::map<pid_t, std::chrono::nanoseconds> timeAtBegin;
+    using Counter = std::uint64_t (standins::LinkStandin::*)(const VmName &) const;
+
+    std::optional<double> mostPerSecond(Counter counter,
+                                        const std::map<std::size_t, std::uint64_t> &atBegin,
+                                        TimePoint now) const;
+
     std::map<std::size_t, std::uint64_t> bytesAtBegin;
+    std::map<std::size_t, std::uint64_t> datagramsAtBegin;
     std::optional<double> largest;
 };
 }
--- a/tools/standins/linkstandin.cpp
+++ b/tools/standins/linkstandin.cpp
@@ -16,6 +16,11 @@
     return {endpoint.address, static_cast<std::uint16_t>(endpoint.port + ports)};
 }
 
+std::uint64_t countOf(const std::map<VmName, std::uint64_t> &counts, const VmName &vm)
+{
+    const auto found = counts.find(vm);
+    return found == counts.end() ? 0 : found->second;
+}
 }
 
 LinkStandin::LinkStandin(const std::vector<settings::VmSettings> &vms,
@@ -49,8 +54,12 @@
 
 std::uint64_t LinkStandin::peerBytesFrom(const VmName &vm) const
 {
-    const auto found = this->peerBytes.find(vm);
-    return found == this->peerBytes.end() ? 0 : found->second;
+    return countOf(this->peerBytes, vm);
+}
+
+std::uint64_t LinkStandin::peerDatagramsFrom(const VmName &vm) const
+{
+    return countOf(this->peerDatagrams, vm);
 }
 
 std::optional<LinkStandin::TimePoint> LinkStandin::lastRelayTo(
@@ -77,6 +86,7 @@
         return;
     }
     if (port.isPeer) {
+        ++this->peerDatagrams[sender->second.vm];
         this->peerBytes[sender->second.vm] += datagram.size() + kIpUdpHeaderBytes;
     }
     if (this->network.isCut(from, port.real.address)) {
--- a/tools/standins/linkstandin.h
+++ b/tools/standins/linkstandin.h
@@ -41,6 +41,9 @@
     //! Bytes of peer datagrams that \a vm sent, IP and UDP headers included.
     std::uint64_t peerBytesFrom(const VmName &vm) const;
 
+    //! Peer datagrams that \a vm sent.
+    std::uint64_t peerDatagramsFrom(const VmName &vm) const;
+
     //! When a VM of another data centre last relayed a packet to a VM of \a dataCentre.
     std::optional<TimePoint> lastRelayTo(const DataCentreName &dataCentre) const;
 
@@ -69,6 +72,7 @@
     std::map<std::uint32_t, Sender> senders;
     std::vector<Port> ports;
     std::map<VmName, std::uint64_t> peerBytes;
+    std::map<VmName, std::uint64_t> peerDatagrams;
     std::map<DataCentreName, TimePoint> lastRelay;
 };
 }
--- a/tools/standins/upstreamstandin.cpp
+++ b/tools/standins/upstreamstandin.cpp
@@ -155,6 +155,7 @@
     }
     this->records.lastPacket = std::chrono::steady_clock::now();
     this->records.lastNewWork = this->records.lastPacket;
+    this->records.lastRequest = this->records.lastPacket;
     if (!request.path.starts_with("/" + this->service.name.str() + "/")) {
         ++this->records.misdelivered;
     }
--- a/tools/standins/upstreamstandin.h
+++ b/tools/standins/upstreamstandin.h
@@ -44,6 +44,7 @@
         std::map<std::string, int> runsByKey;
         TimePoint lastNewWork;
         TimePoint lastPacket;
+        TimePoint lastRequest;
     };
 
     UpstreamStandin(const settings::Service &service, const settings::Upstream &upstream,
