Count answers by result code and bound reservations in steady

Cause: the bench bounded lookups only, so that a system which refuses every reservation kept all bounds.

--- a/tools/radishbench/benchrunmeasures.cpp
+++ b/tools/radishbench/benchrunmeasures.cpp
@@ -135,20 +135,24 @@
     measures.uploads = uploads.sent;
     measures.badAnswers = total.bad;
     measures.cutRequests = total.cut;
+    measures.answersByCode = caller.codes();
     measures.refusedRequests = total.refused;
     measures.failedRequests = total.failed;
     measures.unreachableRequests = total.unreachable;
     if (lookups.sent > 0) {
         measures.answeredRatio = ratio(lookups.answered, lookups.sent);
     }
+    const RequestCaller::Counts reservations = caller.counts(RequestKind::Reservation);
+    if (const std::uint64_t sent = uploads.sent + reservations.sent; sent > 0) {
+        measures.answeredRatioNonIdempotent = ratio(uploads.answered + reservations.answered, sent);
+    }
     if (uploads.sent > 0) {
         measures.answeredRatioUploads = ratio(uploads.answered, uploads.sent);
     }
     if (this->scenario.load.requestShare > 1) {
         const double seconds =
             std::chrono::duration<double>(this->loadEnded - this->loadBegan).count();
-        const std::uint64_t answered =
-            lookups.answered + caller.counts(RequestKind::Reservation).answered;
+        const std::uint64_t answered = lookups.answered + reservations.answered;
         measures.goodputOverCapacity = static_cast<double>(answered) / seconds
             / capacityPerSecond(this->cluster, 0, this->cluster.deployment().requestTime);
     }
--- a/tools/radishbench/bounds.cpp
+++ b/tools/radishbench/bounds.cpp
@@ -82,6 +82,11 @@
     if (traits.isSteady || traits.dataCentreOut) {
         list.atLeast("answered_ratio", kAnsweredRatio, measures.answeredRatio);
     }
+    // Refusing every reservation would keep all other promises.
+    if (traits.isSteady) {
+        list.atLeast("answered_ratio_non_idempotent", kAnsweredRatio,
+                     measures.answeredRatioNonIdempotent);
+    }
     if (traits.rollingRestart && traits.vmKills == 0) {
         list.atMost("cut_requests", 0, count(measures.cutRequests));
     }
--- a/tools/radishbench/requestcaller.cpp
+++ b/tools/radishbench/requestcaller.cpp
@@ -111,6 +111,7 @@
 void RequestCaller::judgeRefusal(const Attempt &attempt, const net::HttpResult &result)
 {
     const ResultCode code = resultOf(result);
+    ++this->byCode[static_cast<int>(code)];
     Counts &counts = this->countsOf(attempt.kind);
     if (std::ranges::count(kNotRunCodes, code) == 0) {
         ++counts.failed;
--- a/tools/radishbench/requestcaller.h
+++ b/tools/radishbench/requestcaller.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -64,6 +65,9 @@
     Counts total() const;
     std::uint64_t outstanding() const { return this->outstandingCount; }
 
+    //! Answers other than the whole one, by the result code that they state.
+    const std::map<int, std::uint64_t> &codes() const { return this->byCode; }
+
     //! Keys of requests that were answered "not run".
     const std::set<std::string> &refusedKeys() const { return this->refused; }
 
@@ -92,6 +96,7 @@
     std::array<Counts, 3> byKind;
     std::uint64_t lastNumber = 0;
     std::uint64_t outstandingCount = 0;
+    std::map<int, std::uint64_t> byCode;
     std::set<std::string> refused;
     std::vector<std::chrono::microseconds> answerTimes;
 };
--- a/tools/radishbench/resultwriter.cpp
+++ b/tools/radishbench/resultwriter.cpp
@@ -49,6 +49,11 @@
     result["false_not_run"] = json(measures.falseNotRun);
     result["bad_answers"] = json(measures.badAnswers);
     result["cut_requests"] = json(measures.cutRequests);
+    result["answers_by_code"] = Json::Value(Json::objectValue);
+    for (const auto &[code, count] : measures.answersByCode) {
+        result["answers_by_code"][std::to_string(code)] = json(count);
+    }
+    result["answered_ratio_non_idempotent"] = json(measures.answeredRatioNonIdempotent);
     result["refused_requests"] = json(measures.refusedRequests);
     result["failed_requests"] = json(measures.failedRequests);
     result["unreachable_requests"] = json(measures.unreachableRequests);
--- a/tools/radishbench/tests/benchtest.cpp
+++ b/tools/radishbench/tests/benchtest.cpp
@@ -178,6 +178,14 @@
             ->holds);
 }
 
+Test(radishbench, refused_reservations_are_no_service)
+{
+    Measures measures;
+    measures.answeredRatio = 1;
+    measures.answeredRatioNonIdempotent = 0.5;
+    cr_assert(!find(judge(measures, {.isSteady = true}), "answered_ratio_non_idempotent")->holds);
+}
+
 Test(radishbench, measure_that_does_not_apply_has_no_bound)
 {
     const std::vector<Bound> bounds = judge({}, {});
--- a/tools/radishbench/types/measures.h
+++ b/tools/radishbench/types/measures.h
@@ -27,6 +27,9 @@
     std::uint64_t falseNotRun = 0;
     std::uint64_t badAnswers = 0;
     std::uint64_t cutRequests = 0;
+    //! Answers other than the whole one, by result code; 0: none was stated.
+    std::map<int, std::uint64_t> answersByCode;
+
     std::uint64_t refusedRequests = 0;
     std::uint64_t failedRequests = 0;
     std::uint64_t unreachableRequests = 0;
@@ -38,6 +41,9 @@
     std::optional<double> answeredRatio;
     std::optional<double> answeredRatioUploads;
 
+    //! The same for everything that must run at most once.
+    std::optional<double> answeredRatioNonIdempotent;
+
     //! Answered over what the upstreams bear, under overload.
     std::optional<double> goodputOverCapacity;
 
