--- a/src/flows/internal/flowrouter.cpp
+++ b/src/flows/internal/flowrouter.cpp
@@ -80,8 +80,9 @@
         // A data centre that is out moves homes away from its VMs.
         this->parts->homes.invalidate(clock.now());
     });
-    dependencies.membership.subscribe(
-        [this, &clock](const membership::Member &) { this->parts->homes.invalidate(clock.now()); });
+    dependencies.membership.subscribe([this, &clock](const membership::Member &member) {
+        this->parts->homes.noteMember(member, clock.now());
+    });
 }
 
 FlowRouter::~FlowRouter() = default;
@@ -95,6 +96,9 @@
     if (!info) {
         return drop(parts.parser.lastReason());
     }
+    const std::uint64_t hash = info->key.hash();
+    // A large table lies in main memory; the look-ups below hide the wait.
+    parts.records.prefetch(hash);
     const auto service = parts.placement.service(info->key.service, info->key.protocol);
     if (!service) {
         return drop(ResultCode::PacketUnknownAddress);
@@ -102,7 +106,7 @@
     FlowPacket flow;
     flow.info = *info;
     flow.source = source;
-    flow.hash = info->key.hash();
+    flow.hash = hash;
     flow.service = *service;
     flow.view = parts.placement.view(*service, flow.hash);
     flow.now = now;
@@ -155,9 +159,12 @@
     if (packet.source == PacketSource::Recall) {
         return this->answerRecall(packet);
     }
-    if (!packet.info.opens) {
+    // The last packets of a flow go by its home, whose record would otherwise outlive the flow and
+    // keep the slot contested.
+    const bool mayUseCache = !packet.info.opens && !packet.info.finishes && !packet.info.resets;
+    if (mayUseCache || packet.source != PacketSource::Fabric) {
         const auto cached = parts.cache.find(packet.hash, packet.time, parts.options.cacheTrust);
-        if (cached) {
+        if (cached && !packet.info.opens) {
             return this->forwardUnrecorded(packet, *cached);
         }
     }
@@ -189,14 +196,15 @@
             return this->forwardUnrecorded(packet, *cached);
         }
     }
-    if (!parts.confidence.isSure()) {
-        const bool serveLocally = packet.info.opens && parts.confidence.isCutOff(packet.now);
-        return serveLocally ? this->placeNew(packet) : drop(ResultCode::FlowDoubtful);
-    }
     const std::uint64_t key = parts.placement.homeKey(packet.service, packet.hash);
     if (!parts.homes.lookup(key, packet.now).isSettled) {
+        // The VM that is asked answers by its own confidence.
         return this->recall(packet);
     }
+    if (!parts.confidence.isSure()) {
+        const bool serveLocally = packet.info.opens && parts.confidence.isCutOff(packet.now);
+        return serveLocally ? this->placeNew(packet) : drop(ResultCode::FlowDoubtful);
+    }
     if (packet.info.opens) {
         return this->placeNew(packet);
     }
@@ -334,7 +342,7 @@
     if (entry.dataCentreOut || parts.owners.isReused(entry)) {
         return drop(ResultCode::FlowGivenUp);
     }
-    parts.cache.touch(packet.hash, upstream, packet.info, packet.time);
+    parts.cache.touchSoon(packet.hash, upstream, packet.info, packet.time);
     return {.to = entry.upstream.tunnel};
 }
 
--- a/src/flows/internal/homedirectory.h
+++ b/src/flows/internal/homedirectory.h
@@ -47,6 +47,9 @@
     //! Valid until the next call.
     const HomeView &lookup(std::uint64_t key, TimePoint now);
 
+    //! A VM appeared or changed its state.
+    void noteMember(const membership::Member &member, TimePoint now);
+
     //! Rankings may have changed.
     void invalidate(TimePoint now);
 
@@ -54,7 +57,7 @@
     void noteTakenOver(PeerId peer, TimePoint now);
 
     //! VMs to pull records from; cleared by the call.
-    std::set<PeerId> takeWanted();
+    std::set<PeerId> takeWanted(TimePoint now);
 
     PeerId idOf(const VmName &name);
     const VmName &nameOf(PeerId peer) const { return this->names[peer]; }
@@ -69,6 +72,7 @@
     void leave(TimePoint now);
 
 private:
+    std::vector<VmName> firstOthers() const;
     struct Entry
     {
         HomeView view;
@@ -78,8 +82,9 @@
         TimePoint lostAt{};
     };
 
-    void rank(std::uint64_t key, Entry &entry, TimePoint now);
-    void settle(Entry &entry, TimePoint now);
+    void rank(std::uint64_t key, Entry &entry);
+    void settle(std::uint64_t key, Entry &entry, TimePoint now);
+    PeerId likelyPredecessor(std::uint64_t key, const HomeView &view) const;
     bool isTakenOver(PeerId peer, TimePoint since);
     bool isYoung(TimePoint now) const;
 
@@ -90,6 +95,9 @@
     std::vector<VmName> names;
     std::vector<TimePoint> takenOverAt;
     std::set<PeerId> wanted;
+
+    //! VMs that announced their stop and still run.
+    std::set<PeerId> leavers;
     PeerId self;
     std::uint64_t version = 1;
     TimePoint startedAt{};
