State the release of slots before a planned stop

Cause: each restart changes the platform's list of VMs; a removed VM's slots rested for the longest request, since it might still use them, so that in a rolling restart most slots rested most of the time and requests waited past their deadline (counted as cut). Change: a stopping VM whose last request has ended states that it uses no slot any more and waits until all know (2 s at most); its removal then needs no rest. Ruled out: the fabric finding closed ports, which is counted apart.

--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -36,6 +36,9 @@
 //! Without arrivals for this long the fabric hands this VM nothing any more.
 constexpr std::chrono::milliseconds kQuietBeforeStop{1000};
 
+//! How long a stopping VM waits until all others know that it has released its slots.
+constexpr std::chrono::milliseconds kLongestRelease{2000};
+
 //! A stopping VM serves what still arrives for this long at most.
 constexpr std::chrono::seconds kLongestService{15};
 
@@ -66,6 +69,7 @@
     int signals = -1;
     bool stopping = false;
     bool refusing = false;
+    std::chrono::steady_clock::time_point releasedAt{};
     int exitCode = 0;
 };
 
@@ -208,8 +212,17 @@
         parts.timeLine.record({.kind = "vm.refusing"});
         running.requests.handler->stopAccepting();
     }
-    if (parts.refusing && running.requests.handler->running() == 0
-        && running.flows.router->isReadyToStop(now)) {
+    if (!parts.refusing || running.requests.handler->running() > 0) {
+        return;
+    }
+    upstreams::Upstreams &upstreams = running.flows.upstreams;
+    if (parts.releasedAt == std::chrono::steady_clock::time_point()) {
+        parts.releasedAt = now;
+        upstreams.announceRelease();
+    }
+    const bool isReleased =
+        upstreams.isReleaseKnown(now) || now - parts.releasedAt >= kLongestRelease;
+    if (isReleased && running.flows.router->isReadyToStop(now)) {
         this->finishStop();
     }
 }
--- a/src/upstreams/internal/shareledger.cpp
+++ b/src/upstreams/internal/shareledger.cpp
@@ -46,7 +46,11 @@
     if (newest.list == list) {
         return;
     }
-    if (!std::ranges::includes(list, newest.list)) {
+    // A VM that has released its slots before it went leaves nothing that could still be in use.
+    const bool mayBeInUse = std::ranges::any_of(newest.list, [&](const ListedVm &vm) {
+        return !std::ranges::binary_search(list, vm) && !this->released.contains(vm.name);
+    });
+    if (mayBeInUse) {
         this->lastRemoval = now;
     }
     newest.replacedAt = now;
@@ -55,6 +59,16 @@
     this->lists.push_back({.list = std::move(list)});
 }
 
+void ShareLedger::noteReleased(const VmName &vm)
+{
+    this->released.insert(vm);
+}
+
+void ShareLedger::forgetReleased(const VmName &vm)
+{
+    this->released.erase(vm);
+}
+
 void ShareLedger::confirm()
 {
     while (this->lists.size() > 1) {
--- a/src/upstreams/internal/shareledger.h
+++ b/src/upstreams/internal/shareledger.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 
 namespace radishladder::upstreams {
@@ -26,6 +27,10 @@
     //! Takes \a list as the platform's newest.
     void setList(VmList list, TimePoint now);
 
+    //! \a vm has stated that it uses no slot any more; its removal needs no rest.
+    void noteReleased(const VmName &vm);
+    void forgetReleased(const VmName &vm);
+
     //! Every listed VM has released what this list takes from it.
     void confirm();
 
@@ -72,6 +77,7 @@
     std::chrono::milliseconds rest;
     std::deque<Entry> lists;
     TimePoint lastRemoval = TimePoint::min();
+    std::set<VmName> released;
 };
 
 //! Names of the VMs of \a dataCentre in \a list (of all VMs if it has none or is empty) by
--- a/src/upstreams/internal/upstreams.cpp
+++ b/src/upstreams/internal/upstreams.cpp
@@ -55,8 +55,8 @@
 bool Upstreams::admitRequest(const UpstreamName &upstream, TimePoint now)
 {
     Entry *entry = this->find(upstream);
-    if (entry == nullptr || this->parts->wasPaused(now) || !entry->isProvable()
-        || entry->state(now) > UpstreamState::Ready) {
+    if (entry == nullptr || this->parts->released || this->parts->wasPaused(now)
+        || !entry->isProvable() || entry->state(now) > UpstreamState::Ready) {
         return false;
     }
     const int share = this->parts->ledger.share(entry->slotSubject(), entry->upstream.dataCentre,
--- a/src/upstreams/internal/upstreamsharing.cpp
+++ b/src/upstreams/internal/upstreamsharing.cpp
@@ -24,6 +24,9 @@
     return bytes;
 }
 
+//! Stated instead of a list by a VM that uses no slot any more and will not again.
+constexpr std::uint64_t kNothingHeld = 0;
+
 bool mayHoldDuties(const membership::Member &member)
 {
     return member.state == membership::MemberState::Alive
@@ -59,6 +62,11 @@
     VmList serving;
     for (const membership::Member &member : this->parts->membership.members()) {
         listed.push_back({member.name, member.dataCentre});
+        if (this->parts->facts.value(member.name, kSharesKey) == digestBytes(kNothingHeld)) {
+            this->parts->ledger.noteReleased(member.name);
+        } else {
+            this->parts->ledger.forgetReleased(member.name);
+        }
         if (mayHoldDuties(member)) {
             serving.push_back({member.name, member.dataCentre});
         }
@@ -73,8 +81,22 @@
     }
 }
 
+void Upstreams::announceRelease()
+{
+    this->parts->released = true;
+    this->parts->facts.publish(kSharesKey, digestBytes(kNothingHeld));
+}
+
+bool Upstreams::isReleaseKnown(TimePoint now) const
+{
+    return this->parts->released && this->parts->facts.isKnownByAll(kSharesKey, now);
+}
+
 void Upstreams::settleShares(TimePoint now)
 {
+    if (this->parts->released) {
+        return;
+    }
     ShareLedger &ledger = this->parts->ledger;
     const std::uint64_t digest = ledger.listDigest();
     if (this->parts->statedList != digest && ledger.mayConfirm(now) && this->isReleased(now)) {
@@ -92,8 +114,9 @@
     }
     bool allConfirmed = true;
     for (const membership::Member &member : this->parts->membership.members()) {
+        const auto stated = this->parts->facts.value(member.name, kSharesKey);
         const bool confirmed = member.name == this->parts->membership.self()
-            || this->parts->facts.value(member.name, kSharesKey) == digestBytes(digest);
+            || stated == digestBytes(digest) || stated == digestBytes(kNothingHeld);
         allConfirmed = allConfirmed && confirmed;
         // A VM that lives and has not confirmed may still use what the old list gave it.
         if (!confirmed && mayHoldDuties(member)) {
--- a/src/upstreams/internal/upstreamsstate.h
+++ b/src/upstreams/internal/upstreamsstate.h
@@ -35,6 +35,9 @@
     std::vector<Subscriber> subscribers;
     std::optional<TimePoint> lastTick;
     std::optional<std::uint64_t> statedList;
+
+    //! This VM is stopping and has stated that it uses no slot any more.
+    bool released = false;
     bool wasResting = false;
 
     bool wasPaused(TimePoint now) const
--- a/src/upstreams/tests/shareledgertest.cpp
+++ b/src/upstreams/tests/shareledgertest.cpp
@@ -115,3 +115,17 @@
     cr_assert(!ledger.mayConfirm(kStart + 2s));
     cr_assert(ledger.mayConfirm(kStart + 2s + kRest));
 }
+
+Test(shareledger, a_released_vm_that_goes_needs_no_rest)
+{
+    ShareLedger ledger(VmName("vm-1"), kRest);
+    ledger.setList(listOf({1, 2}), kStart);
+    ledger.confirm();
+    ledger.noteReleased(VmName("vm-2"));
+    ledger.setList(listOf({1}), kStart + 1s);
+    cr_assert(ledger.mayConfirm(kStart + 1s), "vm-2 had released its slots");
+    ledger.setList(listOf({1, 2}), kStart + 2s);
+    ledger.forgetReleased(VmName("vm-2"));
+    ledger.setList(listOf({1}), kStart + 3s);
+    cr_assert(!ledger.mayConfirm(kStart + 3s), "vm-2 went without a word this time");
+}
--- a/src/upstreams/upstreams.h
+++ b/src/upstreams/upstreams.h
@@ -44,6 +44,12 @@
     void subscribe(Subscriber subscriber) override;
     std::vector<VmName> holders(const UpstreamName &upstream) const override;
 
+    //! States that this VM uses no slot any more and never will again; call it when nothing runs.
+    void announceRelease();
+
+    //! True once all VMs know what announceRelease() has stated.
+    bool isReleaseKnown(TimePoint now) const;
+
     //! Follows the list of VMs, ends held states, grows proven allowances; call it twice a second
     //! or more.
     void tick(TimePoint now);
