--- a/src/flows/tests/flowcluster.cpp
+++ b/src/flows/tests/flowcluster.cpp
@@ -150,7 +150,11 @@
 
 std::string FlowCluster::send(std::size_t vm, const FlowKey &key, Segment segment)
 {
-    auto packet = testPacket(key, segment);
+    return this->sendRaw(vm, testPacket(key, segment));
+}
+
+std::string FlowCluster::sendRaw(std::size_t vm, std::vector<std::uint8_t> packet)
+{
     PacketSource source = PacketSource::Fabric;
     for (int hop = 0; hop < 4; ++hop) {
         if (!this->vms[vm]->isUp) {
--- a/src/flows/tests/flowcluster.h
+++ b/src/flows/tests/flowcluster.h
@@ -66,6 +66,9 @@
     //! Hands the packet to a VM, follows relays; upstream name or reason of the drop.
     std::string send(std::size_t vm, const FlowKey &key, Segment segment);
 
+    //! The same for a packet as it is.
+    std::string sendRaw(std::size_t vm, std::vector<std::uint8_t> packet);
+
     //! Sets the view of all slots of the board service on every VM.
     void setViews(placement::UpstreamIndex oldest, placement::UpstreamIndex current, bool contested,
                   bool settled);
