--- a/src/flows/tests/flowfailuretest.cpp
+++ b/src/flows/tests/flowfailuretest.cpp
@@ -399,14 +399,15 @@
 
 Test(flowfailure, control_bytes_stay_within_the_budget)
 {
-    FlowCluster cluster(3);
+    FlowOptions options = FlowCluster::smallOptions();
+    options.replicationBytesPerSecond = 64;
+    FlowCluster cluster(3, options);
     cluster.setViews(0, 1, true, true);
     for (std::uint16_t n = 0; n < 900; ++n) {
         cluster.send(n % 3, FlowCluster::flow(n), Segment::Syn);
     }
     cluster.network.bytes = 0;
     cluster.run(20s);
-    const FlowOptions options;
     const std::size_t most = 3 * options.replicationBytesPerSecond * 24;
     cr_expect_leq(cluster.network.bytes, most, "%zu bytes", cluster.network.bytes);
     cr_expect_gt(cluster.network.bytes, most / 8);
