--- a/src/app/vmprocess.h
+++ b/src/app/vmprocess.h
@@ -3,6 +3,7 @@
 #include "global/reason.h"
 #include "settings/types/vmsettings.h"
 
+#include <chrono>
 #include <memory>
 
 namespace radishladder::app {
@@ -19,9 +20,12 @@
 
 private:
     struct Parts;
+    struct Running;
 
+    void startTicks();
     void watchSignals();
     void beginStop();
+    void continueStop(std::chrono::steady_clock::time_point stopBegan);
     void finishStop();
 
     std::unique_ptr<Parts> parts;
