--- a/src/distribution/internal/prefixwatcher.h
+++ b/src/distribution/internal/prefixwatcher.h
@@ -62,7 +62,6 @@
     Phase phase = Phase::Stopped;
     bool needsList = true;
     std::int64_t revision = 0;
-    std::int64_t polledRevision = 0;
     std::optional<store::IConfigStore::WatchId> watchId;
     std::chrono::milliseconds backOff{};
     TimePoint retryAt{};
--- a/src/distribution/tests/documentfeedtest.cpp
+++ b/src/distribution/tests/documentfeedtest.cpp
@@ -194,7 +194,7 @@
                     calls() - atStart, fleet.watchers());
         std::fflush(stdout);
         cr_assert_leq(calls() - atStart, 200);
-        cr_assert_leq(atStart, 40 + 8 * count);
+        cr_assert_leq(atStart, static_cast<std::uint64_t>(40 + 8 * count));
     }
 }
 
--- a/src/distribution/tests/fakestore.h
+++ b/src/distribution/tests/fakestore.h
@@ -123,6 +123,7 @@
             }
             if (!due.empty()) {
                 std::vector<store::StoredValue> events;
+                events.reserve(due.size());
                 for (const auto &[at, value] : due) {
                     events.push_back(value);
                 }
@@ -156,7 +157,7 @@
     const Data &visible() const { return this->old ? this->old->first : this->data; }
     std::int64_t visibleRevision() const { return this->old ? this->old->second : this->revision; }
 
-    void answer(Client *client, std::function<void(const Reason &)> handler)
+    void answer(Client *client, const std::function<void(const Reason &)> &handler)
     {
         ++client->calls;
         const bool isLate = this->areAnswersLost || this->delay > kCallTimeout;
--- a/src/membership/internal/factlog.cpp
+++ b/src/membership/internal/factlog.cpp
@@ -6,7 +6,7 @@
 constexpr std::size_t kEntryOverheadBytes = 16;
 }
 
-void FactLog::append(const std::string &key, std::optional<Value> value)
+void FactLog::append(const std::string &key, const std::optional<Value> &value)
 {
     ++this->version;
     this->put({key, this->version, value.has_value(), value.value_or(Value())});
--- a/src/membership/internal/factlog.h
+++ b/src/membership/internal/factlog.h
@@ -27,7 +27,7 @@
     std::uint64_t knownUpTo() const { return this->version; }
 
     //! Gives \a key the next version; an empty value withdraws it.
-    void append(const std::string &key, std::optional<Value> value);
+    void append(const std::string &key, const std::optional<Value> &value);
 
     std::optional<Value> value(const std::string &key) const;
     std::optional<std::uint64_t> versionOf(const std::string &key) const;
--- a/src/membership/internal/probelist.cpp
+++ b/src/membership/internal/probelist.cpp
@@ -18,7 +18,7 @@
     // Two passes: a round may hold only names that have gone meanwhile.
     for (int pass = 0; pass < 2; ++pass) {
         while (!this->round.empty()) {
-            const VmName name = this->round.back();
+            VmName name = this->round.back();
             this->round.pop_back();
             if (std::ranges::find(candidates, name) != candidates.end()) {
                 return name;
--- a/src/membership/internal/sharedfactsexchange.cpp
+++ b/src/membership/internal/sharedfactsexchange.cpp
@@ -260,8 +260,8 @@
     if (!isWhole) {
         // A large fleet is compared in turns.
         this->nextDigest %= digests.size();
-        std::ranges::rotate(digests,
-                            digests.begin() + static_cast<std::ptrdiff_t>(this->nextDigest));
+        std::rotate(digests.begin(),
+                    digests.begin() + static_cast<std::ptrdiff_t>(this->nextDigest), digests.end());
         digests.resize(kDigestsInMessage);
         this->nextDigest += kDigestsInMessage;
     }
--- a/src/membership/tests/fleet.h
+++ b/src/membership/tests/fleet.h
@@ -169,7 +169,7 @@
     }
 
     void post(const VmName &from, const VmName &to, MessageKind kind,
-              std::vector<std::uint8_t> payload)
+              const std::vector<std::uint8_t> &payload)
     {
         const int copies = this->happens(this->lossPercent) ? 0
             : this->happens(this->repeatPercent)            ? 2
--- a/src/membership/tests/peertransporttest.cpp
+++ b/src/membership/tests/peertransporttest.cpp
@@ -43,7 +43,7 @@
 
 struct Vm
 {
-    Vm(VmName name, std::vector<std::string> keys, std::uint64_t start = 1)
+    Vm(VmName name, const std::vector<std::string> &keys, std::uint64_t start = 1)
         : transport(std::move(name), start, keys, this->socket, this->metrics)
     {
         this->transport.useAddresses({{.name = kSender}, {.name = kReceiver}, {.name = kThird}});
