Measure slopes over VMs, upstreams and flows

Cause: the capacity page needs slopes that a command in the repository measures. Change: radishbench slopes runs real daemons at 4, 8, 16 and 32 VMs, 4 and 18 upstreams, and 100, 500 and 2000 flows for six seconds each and prints control bytes, datagrams, processor share, memory and store calls; store calls a second are printed by every run; dc-out-in lasts 30 s, so that flows of a data centre taken out meet the ten seconds after which they are judged. The slopes were not run at this commit. Conclusion: figures follow from the command.

--- a/tools/radishbench/benchrun.cpp
+++ b/tools/radishbench/benchrun.cpp
@@ -74,6 +74,7 @@
     this->idleCpu = this->meter.cpuCorePercent(now);
     this->idleControlBytes = this->meter.controlBytesPerSecond(now);
     this->meter.begin(now);
+    this->storeCallsBefore = this->cluster.store().calls();
     this->loadBegan = now;
     this->record.begin(now);
     this->load.begin(now, this->duration);
@@ -88,6 +89,9 @@
 {
     this->loadEnded = std::chrono::steady_clock::now();
     this->load.end();
+    const std::chrono::duration<double> loaded = this->loadEnded - this->loadBegan;
+    this->storeCalls = static_cast<double>(this->cluster.store().calls() - this->storeCallsBefore)
+        / loaded.count();
     this->rollingRestart.cease();
     this->loadedCpu = this->meter.cpuCorePercent(this->loadEnded);
     this->controlDatagrams = this->meter.controlDatagramsPerSecond(this->loadEnded);
--- a/tools/radishbench/benchrun.h
+++ b/tools/radishbench/benchrun.h
@@ -70,6 +70,8 @@
     VmMeter meter;
     std::optional<double> idleCpu;
     std::optional<double> loadedCpu;
+    std::uint64_t storeCallsBefore = 0;
+    std::optional<double> storeCalls;
     std::optional<double> idleControlBytes;
     std::optional<double> controlBytes;
     std::optional<double> controlDatagrams;
--- a/tools/radishbench/benchrunmeasures.cpp
+++ b/tools/radishbench/benchrunmeasures.cpp
@@ -91,6 +91,7 @@
         measures.configReverted = this->watch.reverted();
     }
     measures.controlBytesPerVmSecond = this->controlBytes;
+    measures.storeCallsPerSecond = this->storeCalls;
     measures.controlBytesPerVmSecondIdle = this->idleControlBytes;
     measures.controlDatagramsPerVmSecond = this->controlDatagrams;
     measures.cpuCorePercent = this->idleCpu;
--- a/tools/radishbench/radishbench.cpp
+++ b/tools/radishbench/radishbench.cpp
@@ -2,6 +2,7 @@
 #include "radishbench/report.h"
 #include "radishbench/runcommand.h"
 #include "radishbench/scenario.h"
+#include "radishbench/slopes.h"
 #include "radishbench/types/runoptions.h"
 
 #include <absl/flags/flag.h>
@@ -150,6 +151,7 @@
 const char *const kUsage = "Load and experiments for radishladder.\n"
                            "  radishbench list\n"
                            "  radishbench run SCENARIO [flags]\n"
+                           "  radishbench slopes [--network=N]\n"
                            "  radishbench report FILE... [--directory=docs] [--commit=ID]\n"
                            "Exit code: 0 all bounds hold, 1 one is missed, 2 bad use.\n"
                            "Faults:\n";
@@ -175,6 +177,10 @@
         blockSignals();
         return runScenario(runOptions(words[1]), format == "table");
     }
+    if (words.size() == 1 && words[0] == "slopes") {
+        blockSignals();
+        return measureSlopes(runOptions("slopes"));
+    }
     if (words.size() > 1 && words[0] == "report") {
         return writeReport({words.begin() + 1, words.end()}, absl::GetFlag(FLAGS_directory),
                            absl::GetFlag(FLAGS_commit));
--- a/tools/radishbench/resultwriter.cpp
+++ b/tools/radishbench/resultwriter.cpp
@@ -77,6 +77,7 @@
     result["control_bytes_per_vm_s"] = json(measures.controlBytesPerVmSecond);
     result["control_bytes_per_vm_s_idle"] = json(measures.controlBytesPerVmSecondIdle);
     result["control_datagrams_per_vm_s"] = json(measures.controlDatagramsPerVmSecond);
+    result["store_calls_per_s"] = json(measures.storeCallsPerSecond);
     result["cpu_core_percent"] = json(measures.cpuCorePercent);
     result["cpu_core_percent_loaded"] = json(measures.cpuCorePercentLoaded);
     result["rss_mb"] = json(measures.rssMegabytes);
--- a/tools/radishbench/runcommand.cpp
+++ b/tools/radishbench/runcommand.cpp
@@ -2,15 +2,13 @@
 
 #include "radishbench/benchrun.h"
 #include "radishbench/faultparser.h"
+#include "radishbench/interruptwatch.h"
 #include "radishbench/resultwriter.h"
 #include "radishbench/scenario.h"
 #include "radishbench/types/runoptions.h"
 
 #include <algorithm>
-#include <csignal>
 #include <iostream>
-#include <sys/signalfd.h>
-#include <unistd.h>
 
 namespace radishladder::radishbench {
 namespace {
@@ -23,34 +21,6 @@
     return kExitBadUse;
 }
 
-//! Ends a run on SIGTERM or SIGINT, so that no daemon is left behind.
-class InterruptWatch
-{
-public:
-    explicit InterruptWatch(BenchRun &run) : run(run)
-    {
-        sigset_t set;
-        sigemptyset(&set);
-        sigaddset(&set, SIGTERM);
-        sigaddset(&set, SIGINT);
-        this->descriptor = ::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-        this->run.loop().watchReadable(this->descriptor, [this] { this->run.interrupt(); });
-    }
-
-    ~InterruptWatch()
-    {
-        this->run.loop().unwatch(this->descriptor);
-        ::close(this->descriptor);
-    }
-
-    InterruptWatch(const InterruptWatch &) = delete;
-    InterruptWatch &operator=(const InterruptWatch &) = delete;
-
-private:
-    BenchRun &run;
-    int descriptor = -1;
-};
-
 std::optional<settings::FlowMechanism> parseFlowMechanism(const std::string &text)
 {
     using enum settings::FlowMechanism;
--- a/tools/radishbench/scenario.cpp
+++ b/tools/radishbench/scenario.cpp
@@ -112,7 +112,7 @@
 
 Faults dataCentreOutIn(const Deployment &deployment)
 {
-    return {"dc-out@25%:" + dataCentre(deployment, 0), "dc-in@60%:" + dataCentre(deployment, 0)};
+    return {"dc-out@20%:" + dataCentre(deployment, 0), "dc-in@65%:" + dataCentre(deployment, 0)};
 }
 
 Faults dataCentreOutInStoreDown(const Deployment &deployment)
@@ -183,7 +183,7 @@
         {"rolling-restart-uploads", "every VM stopped and started under uploads", "lexikonsedel",
          seconds(35), kUploads, rollingRestart},
         {"dc-out-in", "a data centre taken out and back in under full load", "lexikonsedel",
-         seconds(24), kFull, dataCentreOutIn},
+         seconds(30), kFull, dataCentreOutIn},
         {"dc-out-in-store-down", "the same with the store down in between", "lexikonsedel",
          seconds(30), kFull, dataCentreOutInStoreDown},
         {"partition-dc-out",
--- a/tools/radishbench/types/measures.h
+++ b/tools/radishbench/types/measures.h
@@ -58,6 +58,9 @@
     std::optional<std::uint64_t> configReverted;
     std::optional<double> controlBytesPerVmSecond;
     std::optional<double> controlBytesPerVmSecondIdle;
+
+    //! Calls of all VMs together to the platform's store.
+    std::optional<double> storeCallsPerSecond;
     std::optional<double> controlDatagramsPerVmSecond;
 
     //! Busiest VM before the load, and during it.
