--- a/src/membership/internal/peertransport.cpp
+++ b/src/membership/internal/peertransport.cpp
@@ -32,7 +32,6 @@
     DatagramCipher cipher;
     net::IDatagramSocket &socket;
     telemetry::IMetrics &metrics;
-    std::map<MessageKind, telemetry::ICounter *> bytesByKind;
     telemetry::ICounter &bytesSent;
     telemetry::ICounter &bytesReceived;
     std::uint64_t counter = 0;
@@ -40,16 +39,17 @@
     std::map<std::uint64_t, Sender> senders;
     std::map<MessageKind, Handler> handlers;
     std::map<ResultCode, telemetry::ICounter *> drops;
+    std::map<MessageKind, telemetry::ICounter *> bytesByKind;
 
-    telemetry::ICounter &sentOfKind(MessageKind kind)
+    void countSent(MessageKind kind, std::size_t bytes)
     {
-        telemetry::ICounter *&counterOfKind = this->bytesByKind[kind];
-        if (counterOfKind == nullptr) {
-            const std::string label = std::to_string(static_cast<int>(kind));
-            counterOfKind =
-                &this->metrics.counter("control_bytes_by_kind_total", {{"kind", label}});
+        this->bytesSent.add(bytes);
+        telemetry::ICounter *&counter = this->bytesByKind[kind];
+        if (counter == nullptr) {
+            counter = &this->metrics.counter("control_kind_bytes_sent_total",
+                                             {{"kind", std::to_string(static_cast<int>(kind))}});
         }
-        return *counterOfKind;
+        counter->add(bytes);
     }
 };
 
@@ -103,8 +103,7 @@
                                 .start = this->state->start,
                                 .counter = ++this->state->counter};
     const auto datagram = this->state->cipher.seal(header, hash64(to.str()), plain);
-    this->state->bytesSent.add(datagram.size());
-    this->state->sentOfKind(kind).add(datagram.size());
+    this->state->countSent(kind, datagram.size());
     this->state->socket.send(datagram, address->second);
 }
 
