Mend three lint findings and the format of one test

clang-tidy over the 51 units of the settings, store, operations, stand-in and net changes found three places: a reason copied for each call and two constants that could not be moved out of their functions. clang-format found one line of the test of the pages.

--- a/src/operations/internal/applyrun.cpp
+++ b/src/operations/internal/applyrun.cpp
@@ -120,11 +120,11 @@
     // Writing it again moves its revision, so that such a removal fails.
     const auto known = this->base.partRevisions.find(digest);
     const std::int64_t expected = known == this->base.partRevisions.end() ? 0 : known->second;
-    this->store.compareAndSwap(partKey(digest), expected, this->encoded.partsByDigest[digest],
-                               std::nullopt,
-                               [self = this->shared_from_this(), digest](auto, Reason reason) {
-                                   self->partAnswered(digest, reason);
-                               });
+    this->store.compareAndSwap(
+        partKey(digest), expected, this->encoded.partsByDigest[digest], std::nullopt,
+        [self = this->shared_from_this(), digest](auto, const Reason &reason) {
+            self->partAnswered(digest, reason);
+        });
 }
 
 void ConfigurationApplier::Run::partAnswered(const std::string &digest, const Reason &reason)
--- a/src/settings/internal/configurationcodec.cpp
+++ b/src/settings/internal/configurationcodec.cpp
@@ -32,7 +32,7 @@
     EncodedConfiguration encoded;
     const auto addPart = [&encoded](const Json::Value &part) {
         const std::string text = jsonText(part);
-        const std::string digest = digestOf(text);
+        std::string digest = digestOf(text);
         encoded.partsByDigest[digest] = text;
         return digest;
     };
--- a/src/settings/tests/pagestest.cpp
+++ b/src/settings/tests/pagestest.cpp
@@ -82,8 +82,8 @@
 {
     std::set<std::string> names;
     for (const Row &row : rows) {
-        const bool isHere = row[0].starts_with(prefix)
-            && row[0].find('/', prefix.size()) == std::string::npos;
+        const bool isHere =
+            row[0].starts_with(prefix) && row[0].find('/', prefix.size()) == std::string::npos;
         if (isHere) {
             names.insert(row[0].substr(prefix.size()));
         }
--- a/src/settings/tests/vmsettingsreadertest.cpp
+++ b/src/settings/tests/vmsettingsreadertest.cpp
@@ -21,7 +21,7 @@
 
 std::string fileWith(const std::string &text)
 {
-    const std::string path = std::filesystem::temp_directory_path()
+    std::string path = std::filesystem::temp_directory_path()
         / ("radishladder-settings-" + std::to_string(getpid()) + ".json");
     std::ofstream(path) << text;
     return path;
