Let a starting VM contest nothing it does not know, and send POST over fresh connections

And libcurl repeats a request whose kept connection closes without an answer, also a POST, as the store client's tests showed. Change: a starting upstream is marked only after two seconds; non-idempotent requests go over fresh connections. Ruled out: facts arriving late, they are complete within a second of the start.

--- a/src/placement/epochplacement.h
+++ b/src/placement/epochplacement.h
@@ -72,6 +72,7 @@
     void applyDocument(const std::string &key, const std::string &value);
     void applyMark(const std::string &factKey);
     bool isUsable(const UpstreamEntry &entry) const;
+    bool isOpen(const UpstreamEntry &entry) const;
     void updateUsable(UpstreamIndex index);
     void updateOwnMarks();
     void updateSettled(TimePoint now);
--- a/src/placement/internal/epochplacement.cpp
+++ b/src/placement/internal/epochplacement.cpp
@@ -23,6 +23,7 @@
 namespace {
 constexpr std::uint64_t kHomeKeySeed = 0x686f6d65;
 constexpr std::size_t kHomePartitions = 256;
+constexpr std::chrono::milliseconds kStartingGrace{2000};
 
 //! A ramping upstream keeps its slots: what exceeds its pace is asked for again, and no flow goes
 //! off the table.
@@ -78,7 +79,7 @@
     std::unordered_map<UpstreamName, UpstreamIndex> entriesByName;
 
     //! Configured upstreams that take no new flows now.
-    std::set<UpstreamIndex> unusable;
+    std::map<UpstreamIndex, TimePoint> unusable;
     std::set<UpstreamIndex> ownMarks;
     std::set<DataCentreName> dataCentresOut;
     RecordCounts records;
@@ -366,8 +367,12 @@
 
 bool EpochPlacement::isUsable(const UpstreamEntry &entry) const
 {
-    return entry.configured && !entry.upstream.drain && !entry.dataCentreOut
-        && takesNewFlows(this->state->upstreams.state(entry.upstream.name));
+    return this->isOpen(entry) && takesNewFlows(this->state->upstreams.state(entry.upstream.name));
+}
+
+bool EpochPlacement::isOpen(const UpstreamEntry &entry) const
+{
+    return entry.configured && !entry.upstream.drain && !entry.dataCentreOut;
 }
 
 void EpochPlacement::updateUsable(UpstreamIndex index)
@@ -375,7 +380,7 @@
     if (this->isUsable(this->state->entries[index])) {
         this->state->unusable.erase(index);
     } else {
-        this->state->unusable.insert(index);
+        this->state->unusable.try_emplace(index, this->state->lastTick);
     }
 }
 
@@ -390,7 +395,20 @@
 void EpochPlacement::updateOwnMarks()
 {
     State &state = *this->state;
-    std::set<UpstreamIndex> wanted = state.unusable;
+    std::set<UpstreamIndex> wanted;
+    for (auto &[index, since] : state.unusable) {
+        if (since == TimePoint{}) {
+            since = state.lastTick;
+        }
+        // A VM that has just started takes every upstream for cold until it has heard of the
+        // others.
+        const bool isStarting = state.upstreams.state(state.entries[index].upstream.name)
+            == upstreams::UpstreamState::Starting;
+        if (!isStarting || !this->isOpen(state.entries[index])
+            || state.lastTick - since >= kStartingGrace) {
+            wanted.insert(index);
+        }
+    }
     state.records.forEach([&](const RecordCounts::Key &key) {
         const UpstreamIndex current = state.services[key.service]->tables.current(key.slot);
         if (current != key.upstream && current != kNoUpstream) {
--- a/src/placement/tests/epochplacementtest.cpp
+++ b/src/placement/tests/epochplacementtest.cpp
@@ -142,6 +142,10 @@
     const UpstreamIndex elsewhere = f.viewOf(0).current;
     f.upstreams.turn(UpstreamName("h2"), upstreams::UpstreamState::Starting);
     f.tick();
+    cr_assert(!f.viewOf(2).contested,
+              "a VM that has just started must not contest what others know to be ready");
+    f.tick(std::chrono::seconds(3));
+    cr_assert(f.viewOf(2).contested);
     f.placement.recordAdded(service, f.hashOf(2), elsewhere);
     f.placement.recordAdded(service, f.hashOf(1), f.viewOf(1).current);
     f.upstreams.turn(UpstreamName("h2"), upstreams::UpstreamState::Ready);
--- a/src/requests/internal/requestattempts.cpp
+++ b/src/requests/internal/requestattempts.cpp
@@ -175,6 +175,9 @@
                        .headers = job.request.headers,
                        .body = job.request.body,
                        .timeout = left};
+    // A kept connection that closes without an answer makes libcurl send the request again on its
+    // own.
+    call.freshConnection = !job.isIdempotent;
     for (const char *name : kHopByHopHeaders) {
         call.headers.erase(name);
     }
