Mend what clang-tidy found in the request path

clang-tidy over all sources of the requests and upstreams modules, the two benchmarks and the daemon's wiring found seven places: copies that could be moves, one unreserved vector and casts after int sums.

--- a/src/requests/internal/requestcheck.cpp
+++ b/src/requests/internal/requestcheck.cpp
@@ -80,7 +80,7 @@
         || !isTarget(request.path + request.query)) {
         return {ResultCode::RequestMalformed, "method or target"};
     }
-    const Reason headers = checkHeaders(request);
+    Reason headers = checkHeaders(request);
     if (headers.code != ResultCode::Ok) {
         return headers;
     }
--- a/src/requests/tests/keyhometest.cpp
+++ b/src/requests/tests/keyhometest.cpp
@@ -101,7 +101,7 @@
 
     std::shared_ptr<FakeResponder> bookAt(const VmName &name, const std::string &key)
     {
-        const auto responder = this->vm(name).handle(booking(key));
+        auto responder = this->vm(name).handle(booking(key));
         this->deliver();
         return responder;
     }
--- a/src/requests/tests/requestenginetest.cpp
+++ b/src/requests/tests/requestenginetest.cpp
@@ -224,6 +224,7 @@
     net::HttpRequest bulk = lookup();
     bulk.headers["Host"] = "bulk";
     std::vector<std::shared_ptr<FakeResponder>> bulks;
+    bulks.reserve(512);
     for (int i = 0; i < 512; ++i) {
         bulks.push_back(lone.handle(bulk));
     }
--- a/tools/benchmarks/slotshares/sharemodel.cpp
+++ b/tools/benchmarks/slotshares/sharemodel.cpp
@@ -15,6 +15,11 @@
 constexpr int kRunMs = 30000;
 constexpr double kUnit = 1.0 / 18446744073709551616.0;
 
+std::size_t index(int time)
+{
+    return static_cast<std::size_t>(time);
+}
+
 //! Slots are interchangeable within a VM, so the model counts them per VM.
 class Model
 {
@@ -80,7 +85,7 @@
 
     void takeHandedOver(int now)
     {
-        for (const auto &[vm, request] : this->arriving[static_cast<std::size_t>(now)]) {
+        for (const auto &[vm, request] : this->arriving[index(now)]) {
             this->queues[vm].push_back(request);
         }
     }
@@ -93,7 +98,7 @@
         const bool handsOver = isLate || this->wanted.policy == SharePolicy::FixedHandOver;
         if (handsOver && behind >= (isLate ? kSlots / this->wanted.vms : 0)) {
             ++this->messages;
-            this->arriving[static_cast<std::size_t>(now + kHopMs)].push_back(
+            this->arriving[index(now + kHopMs)].push_back(
                 {this->anyVm(), {request.deadline, true}});
             return;
         }
@@ -114,15 +119,15 @@
         }
         --this->free[lender];
         ++this->free[borrower];
-        this->returning[static_cast<std::size_t>(now + kLeaseMs)].push_back({lender, borrower});
+        this->returning[index(now + kLeaseMs)].push_back({lender, borrower});
     }
 
     //! A slot in use at the end of its lease goes back when its request has ended.
     void returnLoans(int now)
     {
-        for (const Loan &loan : this->returning[static_cast<std::size_t>(now)]) {
+        for (const Loan &loan : this->returning[index(now)]) {
             if (this->free[loan.borrower] <= 0) {
-                this->returning[static_cast<std::size_t>(now + 1)].push_back(loan);
+                this->returning[index(now + 1)].push_back(loan);
                 continue;
             }
             ++this->messages;
@@ -147,13 +152,13 @@
             --this->free[vm];
             ++this->inUse;
             this->overloads += this->inUse > kSlots ? 1 : 0;
-            this->finishing[static_cast<std::size_t>(now + kServiceMs)].push_back(vm);
+            this->finishing[index(now + kServiceMs)].push_back(vm);
         }
     }
 
     void finish(int now)
     {
-        for (const std::size_t vm : this->finishing[static_cast<std::size_t>(now)]) {
+        for (const std::size_t vm : this->finishing[index(now)]) {
             ++this->free[vm];
             --this->inUse;
             ++this->answered;
