Let fleets of up to 48 VMs stay confident while facts change

With more than 24 VMs digests were partial, so that any steady change of facts kept views unequal and no answer counted as a confirmation.

--- a/src/membership/internal/membershipsending.cpp
+++ b/src/membership/internal/membershipsending.cpp
@@ -13,7 +13,7 @@
 namespace radishladder::membership {
 namespace {
 constexpr std::size_t kUpdateBytes = 240;
-constexpr std::size_t kExtensionBytes = 600;
+constexpr std::size_t kExtensionBytes = 850;
 constexpr std::size_t kConfirmationsInAnswer = 24;
 constexpr std::size_t kIndirectProbes = 2;
 constexpr std::size_t kSampleEntries = 3;
--- a/src/membership/internal/sharedfactsexchange.cpp
+++ b/src/membership/internal/sharedfactsexchange.cpp
@@ -10,7 +10,7 @@
 
 namespace radishladder::membership {
 namespace {
-constexpr std::size_t kDigestsInMessage = 24;
+constexpr std::size_t kDigestsInMessage = 48;
 constexpr std::size_t kMessageOverheadBytes = 32;
 constexpr std::chrono::milliseconds kRepeatInterval{300};
 constexpr double kPushBytesPerSecond = 150;
@@ -41,8 +41,8 @@
         message.digests = packDigests(this->state->digests(message.isDigestWhole));
     }
     const bool isSmall = this->state->membership.vmCount() <= kSmallFleet;
-    message.deltas =
-        isSmall ? this->state->ownDelta(to, maxBytes) : this->state->takeRumours(maxBytes);
+    const std::size_t room = maxBytes - std::min(maxBytes, message.digests.size());
+    message.deltas = isSmall ? this->state->ownDelta(to, room) : this->state->takeRumours(room);
     return encodeMessage(message);
 }
 
--- a/src/membership/tests/sharedfactstest.cpp
+++ b/src/membership/tests/sharedfactstest.cpp
@@ -157,6 +157,22 @@
     cr_assert(isKnownByAll(fleet.at(0)));
 }
 
+// Views of facts that change all the time are never quite equal.
+Test(sharedfacts, vms_stay_confident_while_facts_change)
+{
+    Fleet fleet(30);
+    fleet.run(5s);
+    for (int i = 0; i < 20; ++i) {
+        for (const int index : {3, 13, 23}) {
+            fleet.at(index).facts.publish(kKey, numbered(i));
+        }
+        fleet.run(1s);
+    }
+    for (const auto &[index, vm] : fleet.all()) {
+        cr_assert(vm->isConfident());
+    }
+}
+
 Test(sharedfacts, known_by_all_never_comes_early, .timeout = 110)
 {
     cr_assert(rc::check([] {
