Choose the flow mechanism in the app and ask the freeze policy for lost upstreams

Cause: the baselines could not be selected in the daemon, and the epoch maker tested the freeze flag by itself beside the policy table. Change: createFlowRouter() in FlowParts, isAllowed() in EpochMaker.

--- a/src/app/flowparts.cpp
+++ b/src/app/flowparts.cpp
@@ -1,8 +1,9 @@
 #include "app/flowparts.h"
 
 #include "app/fleet.h"
-#include "flows/flowrouter.h"
-#include "flows/hashrouter.h"
+#include "flows/flowrouterfactory.h"
+#include "flows/types/flowdependencies.h"
+#include "flows/types/flowoptions.h"
 #include "global/iclock.h"
 #include "net/ieventloop.h"
 #include "settings/types/vmsettings.h"
@@ -11,15 +12,6 @@
 namespace {
 constexpr std::chrono::milliseconds kDecisionTick{100};
 constexpr std::chrono::milliseconds kProbePeriod{500};
-
-std::unique_ptr<flows::IFlowRouter> makeRouter(settings::FlowMechanism mechanism,
-                                               const flows::FlowDependencies &dependencies)
-{
-    if (mechanism == settings::FlowMechanism::Epochs) {
-        return std::make_unique<flows::FlowRouter>(dependencies, flows::FlowOptions());
-    }
-    return std::make_unique<flows::HashRouter>(dependencies.configuration);
-}
 }
 
 FlowParts::FlowParts(const settings::VmSettings &settings, Fleet &fleet, net::IHttpClient &client,
@@ -30,15 +22,16 @@
       placement(fleet.configuration, fleet.feed, fleet.facts, this->upstreams, timeLine),
       maker(fleet.configuration, fleet.feed, store, fleet.membership, fleet.facts, this->upstreams,
             timeLine),
-      router(makeRouter(settings.flowMechanism,
-                        {.placement = this->placement,
-                         .membership = fleet.membership,
-                         .transport = fleet.transport,
-                         .upstreams = this->upstreams,
-                         .configuration = fleet.configuration,
-                         .metrics = metrics,
-                         .clock = clock,
-                         .dataCentre = settings.dataCentre}))
+      router(flows::createFlowRouter(settings.flowMechanism,
+                                     {.placement = this->placement,
+                                      .membership = fleet.membership,
+                                      .transport = fleet.transport,
+                                      .upstreams = this->upstreams,
+                                      .configuration = fleet.configuration,
+                                      .metrics = metrics,
+                                      .clock = clock,
+                                      .dataCentre = settings.dataCentre},
+                                     flows::FlowOptions()))
 { }
 
 void FlowParts::run(net::IEventLoop &loop, const IClock &clock)
--- a/src/placement/internal/epochmaker.cpp
+++ b/src/placement/internal/epochmaker.cpp
@@ -9,6 +9,7 @@
 #include "placement/epochplacement.h"
 #include "placement/factkeys.h"
 #include "placement/slotassignment.h"
+#include "settings/freezepolicy.h"
 #include "settings/iconfigurationsource.h"
 #include "settings/types/configuration.h"
 #include "store/iconfigstore.h"
@@ -90,7 +91,7 @@
 {
     this->lastTick = now;
     const auto current = this->configuration.current();
-    if (!current->freeze) {
+    if (settings::isAllowed(settings::AutomaticAction::TableForLostUpstream, current->freeze)) {
         this->updateLost(now);
     }
     if (!this->membership.isConfident(now)) {
