--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -6,7 +6,7 @@
 endif()
 if(RADISHLADDER_SANITIZE)
     target_compile_options(radishladder_options INTERFACE
-        -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer)
+        -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer -O1)
     target_link_options(radishladder_options INTERFACE -fsanitize=address,undefined)
 endif()
 
--- a/src/app/fleet.cpp
+++ b/src/app/fleet.cpp
@@ -13,6 +13,8 @@
 #include "store/types/storedvalue.h"
 #include "telemetry/itimeline.h"
 
+#include <random>
+
 namespace radishladder::app {
 namespace {
 constexpr std::chrono::milliseconds kHeartbeatTick{50};
@@ -43,7 +45,7 @@
 Fleet::Fleet(const settings::VmSettings &settings, net::IDatagramSocket &socket,
              net::IHttpClient &client, store::IConfigStore &store, const IClock &clock,
              telemetry::ITimeLine &timeLine, telemetry::IMetrics &metrics)
-    : random(hash64(settings.name.str(), startNumber(clock))),
+    : random(hash64(settings.name.str(), std::random_device()())),
       transport(settings.name, startNumber(clock), settings.peerKeys, socket, metrics),
       membership(ownMember(settings, startNumber(clock)), this->transport, this->random, clock,
                  timeLine, metrics),
@@ -73,6 +75,9 @@
 {
     this->feed.subscribe(std::string(store::kVmListKey),
                          [this, &timeLine](const store::StoredValue &document) {
+                             if (document.removed) {
+                                 return;
+                             }
                              membership::VmListReader reader;
                              const auto list = reader.read(document.value);
                              if (list) {
--- a/src/placement/internal/epochplacement.cpp
+++ b/src/placement/internal/epochplacement.cpp
@@ -7,6 +7,7 @@
 #include "placement/factkeys.h"
 #include "placement/internal/recordcounts.h"
 #include "placement/internal/servicetables.h"
+#include "placement/slotassignment.h"
 #include "settings/iconfigurationsource.h"
 #include "settings/types/configuration.h"
 #include "store/storekeys.h"
@@ -32,6 +33,18 @@
     return state == upstreams::UpstreamState::Ready || state == upstreams::UpstreamState::Ramping;
 }
 
+//! Slot in the largest possible table, from which the slot in any smaller one follows: tables may
+//! grow while records are held.
+std::uint32_t widestSlot(std::uint64_t hash)
+{
+    return static_cast<std::uint32_t>(hash >> 32) & (kMostSlots - 1);
+}
+
+std::uint64_t hashOfSlot(std::uint32_t widest)
+{
+    return static_cast<std::uint64_t>(widest) << 32;
+}
+
 membership::ISharedFacts::Value bytesOf(std::uint64_t value)
 {
     membership::ISharedFacts::Value bytes(sizeof value);
@@ -303,8 +316,13 @@
 SlotView EpochPlacement::view(ServiceIndex service, std::uint64_t hash) const
 {
     const ServiceTables &tables = this->state->services[service]->tables;
-    const std::size_t slot = tables.slotOf(hash);
     SlotView view;
+    if (tables.isEmpty()) {
+        // Records of other VMs may arrive before the service's first document.
+        view.contested = true;
+        return view;
+    }
+    const std::size_t slot = tables.slotOf(hash);
     view.oldest = tables.oldest(slot);
     view.current = tables.current(slot);
     const MarkState *mark =
@@ -355,14 +373,12 @@
 
 void EpochPlacement::recordAdded(ServiceIndex service, std::uint64_t hash, UpstreamIndex upstream)
 {
-    const std::size_t slot = this->state->services[service]->tables.slotOf(hash);
-    this->state->records.add({service, static_cast<std::uint32_t>(slot), upstream});
+    this->state->records.add({service, widestSlot(hash), upstream});
 }
 
 void EpochPlacement::recordRemoved(ServiceIndex service, std::uint64_t hash, UpstreamIndex upstream)
 {
-    const std::size_t slot = this->state->services[service]->tables.slotOf(hash);
-    this->state->records.remove({service, static_cast<std::uint32_t>(slot), upstream});
+    this->state->records.remove({service, widestSlot(hash), upstream});
 }
 
 bool EpochPlacement::isUsable(const UpstreamEntry &entry) const
@@ -410,7 +426,9 @@
         }
     }
     state.records.forEach([&](const RecordCounts::Key &key) {
-        const UpstreamIndex current = state.services[key.service]->tables.current(key.slot);
+        const ServiceTables &tables = state.services[key.service]->tables;
+        const UpstreamIndex current =
+            tables.isEmpty() ? kNoUpstream : tables.current(tables.slotOf(hashOfSlot(key.slot)));
         if (current != key.upstream && current != kNoUpstream) {
             wanted.insert(current);
         }
@@ -448,7 +466,8 @@
     std::set<ServiceIndex> offNewest;
     state.records.forEach([&](const RecordCounts::Key &key) {
         const ServiceTables &tables = state.services[key.service]->tables;
-        if (tables.differs(key.slot) && tables.newest(key.slot) != key.upstream) {
+        const std::size_t slot = tables.slotOf(hashOfSlot(key.slot));
+        if (tables.differs(slot) && tables.newest(slot) != key.upstream) {
             offNewest.insert(key.service);
         }
     });
--- a/src/placement/internal/slotassignment.cpp
+++ b/src/placement/internal/slotassignment.cpp
@@ -12,7 +12,6 @@
 namespace {
 constexpr std::size_t kSlotsPerMember = 64;
 constexpr std::size_t kFewestSlots = 256;
-constexpr std::size_t kMostSlots = 65536;
 constexpr std::uint16_t kFree = 0xffff;
 
 std::uint64_t score(std::size_t slot, std::uint64_t wireId)
@@ -105,7 +104,8 @@
 
 std::size_t slotCount(std::size_t members)
 {
-    return std::clamp(std::bit_ceil(members * kSlotsPerMember), kFewestSlots, kMostSlots);
+    return std::clamp(std::bit_ceil(members * kSlotsPerMember), kFewestSlots,
+                      std::size_t{kMostSlots});
 }
 
 EpochTable carrySlots(const EpochTable &previous, std::span<const WeightedMember> members)
--- a/src/placement/slotassignment.h
+++ b/src/placement/slotassignment.h
@@ -7,6 +7,9 @@
 
 namespace radishladder::placement {
 
+//! Slots of the largest table.
+inline constexpr std::uint32_t kMostSlots = 65536;
+
 //! Table that gives \a members slots by weight and moves as few slots of \a previous as that
 //! allows. Equal inputs give equal tables on every VM.
 EpochTable carrySlots(const EpochTable &previous, std::span<const WeightedMember> members);
--- a/src/placement/tests/epochplacementtest.cpp
+++ b/src/placement/tests/epochplacementtest.cpp
@@ -58,6 +58,20 @@
     cr_assert(!f.viewOf(0).contested);
 }
 
+Test(epochplacement, records_may_arrive_before_the_first_document)
+{
+    Fixture f;
+    const ServiceIndex service = *f.placement.find(ServiceName("portal"));
+    cr_assert(f.viewOf(0).contested);
+    cr_assert_eq(f.viewOf(0).current, kNoUpstream);
+    f.placement.recordAdded(service, f.hashOf(0), 0);
+    f.tick();
+    f.placement.recordRemoved(service, f.hashOf(0), 0);
+    f.offer(f.first);
+    f.tick();
+    cr_assert(!f.viewOf(0).contested);
+}
+
 Test(epochplacement, announced_table_makes_slots_contested_but_places_nothing)
 {
     Fixture f;
