--- a/tools/fuzz/fuzzmessages.cpp
+++ b/tools/fuzz/fuzzmessages.cpp
@@ -91,6 +91,8 @@
 }
 }
 
+// The name is libFuzzer's.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     if (size == 0) {
