--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -36,6 +36,9 @@
 //! Without arrivals for this long the fabric hands this VM nothing any more.
 constexpr std::chrono::milliseconds kQuietBeforeStop{1000};
 
+//! Time for the last answers to leave the server's buffers.
+constexpr std::chrono::milliseconds kAnswerFlush{300};
+
 //! How long a stopping VM waits until all others know that it has released its slots.
 constexpr std::chrono::milliseconds kLongestRelease{2000};
 
@@ -70,6 +73,7 @@
     bool stopping = false;
     bool refusing = false;
     std::chrono::steady_clock::time_point releasedAt{};
+    std::chrono::steady_clock::time_point doneAt{};
     int exitCode = 0;
 };
 
@@ -222,7 +226,14 @@
     }
     const bool isReleased =
         upstreams.isReleaseKnown(now) || now - parts.releasedAt >= kLongestRelease;
-    if (isReleased && running.flows.router->isReadyToStop(now)) {
+    if (!isReleased || !running.flows.router->isReadyToStop(now)) {
+        return;
+    }
+    if (parts.doneAt == std::chrono::steady_clock::time_point()) {
+        parts.doneAt = now;
+    }
+    // The server writes its last answers on threads of its own.
+    if (now - parts.doneAt >= kAnswerFlush) {
         this->finishStop();
     }
 }
--- a/src/framework/telemetry/types/event.h
+++ b/src/framework/telemetry/types/event.h
@@ -2,6 +2,7 @@
 
 #include "global/name.h"
 #include "global/resultcode.h"
+#include "telemetry/types/hybridtime.h"
 
 #include <chrono>
 #include <cstdint>
@@ -9,15 +10,6 @@
 
 namespace radishladder::telemetry {
 
-//! Hybrid logical time: calendar time that never falls behind a cause, and a counter within it.
-struct HybridTime
-{
-    std::chrono::sys_time<std::chrono::microseconds> wall{};
-    std::uint32_t counter = 0;
-
-    auto operator<=>(const HybridTime &) const = default;
-};
-
 //! One change of state on the time line.
 struct Event
 {
--- a/src/membership/internal/factsmessage.h
+++ b/src/membership/internal/factsmessage.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "membership/internal/factdelta.h"
+#include "membership/internal/factentry.h"
 #include <cstdint>
 #include <msgpack.hpp>
 #include <string>
@@ -7,29 +9,6 @@
 
 namespace radishladder::membership {
 
-//! One fact of a VM, or that it was withdrawn.
-struct FactEntry
-{
-    std::string key;
-    std::uint64_t version = 0;
-    bool isPresent = false;
-    std::vector<std::uint8_t> value;
-
-    MSGPACK_DEFINE_ARRAY(key, version, isPresent, value)
-};
-
-//! Brings whoever knows the facts of \a origin up to \a after forward to \a upTo.
-struct FactDelta
-{
-    std::string origin;
-    std::uint64_t start = 0;
-    std::uint64_t after = 0;
-    std::uint64_t upTo = 0;
-    std::vector<FactEntry> entries;
-
-    MSGPACK_DEFINE_ARRAY(origin, start, after, upTo, entries)
-};
-
 //! Attachment of heartbeats and payload of MessageKind::Facts. New fields are appended.
 struct FactsMessage
 {
--- a/src/placement/epochplacement.h
+++ b/src/placement/epochplacement.h
@@ -75,7 +75,6 @@
     bool isOpen(const UpstreamEntry &entry) const;
     void updateUsable(UpstreamIndex index);
     void updateOwnMarks();
-    void updateSettled(TimePoint now);
     void updateReleased(TimePoint now);
 
     std::unique_ptr<State> state;
--- a/src/placement/internal/epochplacement.cpp
+++ b/src/placement/internal/epochplacement.cpp
@@ -5,6 +5,7 @@
 #include "membership/isharedfacts.h"
 #include "placement/epochcodec.h"
 #include "placement/factkeys.h"
+#include "placement/internal/markboard.h"
 #include "placement/internal/recordcounts.h"
 #include "placement/internal/servicetables.h"
 #include "placement/slotassignment.h"
@@ -68,16 +69,13 @@
     std::uint64_t releasedEpoch = 0;
 };
 
-//! Marks of one upstream.
-struct MarkState
-{
-    bool own = false;
-    bool settled = false;
-    std::set<VmName> origins;
-};
-
 struct EpochPlacement::State
 {
+    State(distribution::IDocumentFeed &feed, membership::ISharedFacts &facts,
+          upstreams::IUpstreams &upstreams, telemetry::ITimeLine &timeLine)
+        : feed(feed), facts(facts), upstreams(upstreams), timeLine(timeLine)
+    { }
+
     distribution::IDocumentFeed &feed;
     membership::ISharedFacts &facts;
     upstreams::IUpstreams &upstreams;
@@ -87,13 +85,12 @@
     std::map<std::pair<net::Endpoint, std::uint8_t>, ServiceIndex> servicesByAddress;
     std::unordered_map<ServiceName, ServiceIndex> servicesByName;
     std::vector<UpstreamEntry> entries;
-    std::vector<MarkState> marks;
+    MarkBoard marks{this->facts};
     std::unordered_map<std::uint64_t, UpstreamIndex> entriesByWireId;
     std::unordered_map<UpstreamName, UpstreamIndex> entriesByName;
 
     //! Configured upstreams that take no new flows now.
     std::map<UpstreamIndex, TimePoint> unusable;
-    std::set<UpstreamIndex> ownMarks;
     std::set<DataCentreName> dataCentresOut;
     RecordCounts records;
     TimePoint lastTick{};
@@ -119,7 +116,7 @@
         this->entriesByWireId.try_emplace(wireId, static_cast<UpstreamIndex>(this->entries.size()));
     if (isNew) {
         this->entries.push_back({.wireId = wireId});
-        this->marks.emplace_back();
+        this->marks.append(wireId);
     }
     return found->second;
 }
@@ -133,7 +130,7 @@
 EpochPlacement::EpochPlacement(settings::IConfigurationSource &configuration,
                                distribution::IDocumentFeed &feed, membership::ISharedFacts &facts,
                                upstreams::IUpstreams &upstreams, telemetry::ITimeLine &timeLine)
-    : state(new State{feed, facts, upstreams, timeLine})
+    : state(std::make_unique<State>(feed, facts, upstreams, timeLine))
 {
     this->applyConfiguration(*configuration.current());
     configuration.subscribe(
@@ -278,11 +275,7 @@
     // Known before the configuration that names the upstream has arrived: the entry is filled in
     // later.
     const UpstreamIndex index = this->state->upstreamIndex(*wireId);
-    std::set<VmName> origins;
-    for (VmName &origin : this->state->facts.origins(factKey)) {
-        origins.insert(std::move(origin));
-    }
-    this->state->marks[index].origins = std::move(origins);
+    this->state->marks.learn(index, factKey);
 }
 
 std::optional<ServiceIndex> EpochPlacement::service(const net::Endpoint &address,
@@ -325,11 +318,10 @@
     const std::size_t slot = tables.slotOf(hash);
     view.oldest = tables.oldest(slot);
     view.current = tables.current(slot);
-    const MarkState *mark =
-        view.current == kNoUpstream ? nullptr : &this->state->marks[view.current];
-    const bool isMarked = mark != nullptr && (mark->own || !mark->origins.empty());
+    const MarkBoard &marks = this->state->marks;
+    const bool isMarked = view.current != kNoUpstream && marks.isMarked(view.current);
     view.contested = isMarked || tables.differs(slot);
-    view.settled = (mark != nullptr && mark->settled) || tables.differsSettled(slot);
+    view.settled = (isMarked && marks.isSettled(view.current)) || tables.differsSettled(slot);
     return view;
 }
 
@@ -404,7 +396,7 @@
 {
     this->state->lastTick = now;
     this->updateOwnMarks();
-    this->updateSettled(now);
+    this->state->marks.updateSettled(now);
     this->updateReleased(now);
 }
 
@@ -433,31 +425,7 @@
             wanted.insert(current);
         }
     });
-    for (const UpstreamIndex index : wanted) {
-        if (!state.ownMarks.contains(index)) {
-            state.marks[index].own = true;
-            state.facts.publish(markKey(state.entries[index].wireId), {});
-        }
-    }
-    for (const UpstreamIndex index : state.ownMarks) {
-        if (!wanted.contains(index)) {
-            state.marks[index].own = false;
-            state.marks[index].settled = false;
-            state.facts.withdraw(markKey(state.entries[index].wireId));
-        }
-    }
-    state.ownMarks = std::move(wanted);
-}
-
-void EpochPlacement::updateSettled(TimePoint now)
-{
-    for (const UpstreamIndex index : this->state->ownMarks) {
-        MarkState &mark = this->state->marks[index];
-        if (!mark.settled) {
-            mark.settled =
-                this->state->facts.isKnownByAll(markKey(this->state->entries[index].wireId), now);
-        }
-    }
+    state.marks.state(std::move(wanted));
 }
 
 void EpochPlacement::updateReleased(TimePoint now)
