Place no flow for a home that was told it has everything

Cause: while homes move (a data centre leaves or returns, a VM joins), the former home places new flows that its successor asks about. One placed after the message that everything is handed over was sent, but before its record followed with the next tick, was taken by the successor for an old flow and sent to the oldest table's upstream: a reset. Change: a former home remembers whom it has told and drops first packets for it; the caller's retransmission finds the successor settled. Ruled out: the takeover window of 1 s, which hides the race only while the hand-over is short.

--- a/src/flows/internal/flowrouter.cpp
+++ b/src/flows/internal/flowrouter.cpp
@@ -232,7 +232,15 @@
     if (!mayAnswer) {
         return drop(ResultCode::FlowOwnerUnknown);
     }
-    return packet.info.opens ? this->placeNew(packet) : this->forwardOldest(packet);
+    if (!packet.info.opens) {
+        return this->forwardOldest(packet);
+    }
+    // Once the home believes that it has every record, one more would come too late: the caller's
+    // next packet would be taken for an old flow. The first packet comes again and finds the home
+    // settled.
+    const PeerId home = parts.homes.lookup(key, packet.now).ranks[0];
+    return parts.exchange.hasServed(home) ? drop(ResultCode::FlowOwnerUnknown)
+                                          : this->placeNew(packet);
 }
 
 PacketVerdict FlowRouter::answerRelay(FlowPacket &packet)
--- a/src/flows/internal/recordexchange.cpp
+++ b/src/flows/internal/recordexchange.cpp
@@ -144,6 +144,7 @@
         const bool isDone = askedInPass < this->pass && !this->missing.contains(peer)
             && this->sender.isIdle(peer) && this->urgent.empty();
         if (isDone) {
+            this->served.insert(peer);
             this->sendPull(peer, {.kind = PullMessage::Kind::TakenOver});
         }
         return isDone;
@@ -300,6 +301,7 @@
     case PullMessage::Kind::Pull:
         // A VM that is unknown here holds no duty in this VM's eyes, so nothing would be sent.
         if (this->homes.reachable(from) != nullptr) {
+            this->served.erase(from);
             this->pulls.try_emplace(from, this->pass);
         }
         return;
--- a/src/flows/internal/recordexchange.h
+++ b/src/flows/internal/recordexchange.h
@@ -49,6 +49,9 @@
     //! From now on every record is handed over, whatever it costs.
     void beginHandOver(TimePoint now);
 
+    //! \a peer was told that it has all records that it is home of: none may be added for it since.
+    bool hasServed(PeerId peer) const { return this->served.contains(peer); }
+
     //! All records that other VMs need are there.
     bool isHandedOver() const;
 
@@ -92,6 +95,9 @@
 
     //! Pass at which each VM asked for its records.
     std::map<PeerId, std::uint64_t> pulls;
+
+    //! VMs that were told that they have everything and have not asked again since.
+    std::set<PeerId> served;
     std::map<PeerId, TimePoint> pulledAt;
     bool handingOver = false;
     bool handedOver = false;
--- a/src/flows/tests/flowfailuretest.cpp
+++ b/src/flows/tests/flowfailuretest.cpp
@@ -112,6 +112,50 @@
     expectEverywhere(cluster, key, "b", "after the old home died");
 }
 
+Test(flowfailure, flow_placed_by_the_old_home_while_the_new_one_takes_over)
+{
+    constexpr int kSteps = 90;
+    constexpr std::uint16_t kFlows = 20;
+    constexpr std::uint16_t kOldFlows = 300;
+    int placed = 0;
+    for (int before = 0; before < kSteps; ++before) {
+        FlowCluster cluster(3);
+        cluster.start();
+        cluster.setViews(0, 1, true, true);
+        // Enough records that handing them over takes longer than the takeover window.
+        for (std::uint16_t n = kFlows; n < kFlows + kOldFlows; ++n) {
+            cluster.send(0, FlowCluster::flow(n), Segment::Syn);
+        }
+        cluster.join();
+        // The new home begins to ask for what the old ones know.
+        cluster.send(3, flowWithHome(cluster, 3), Segment::Data);
+        for (int step = 0; step <= before; ++step) {
+            cluster.network.deliver();
+            cluster.clock.advance(100ms);
+            for (std::size_t i = 0; i < cluster.size(); ++i) {
+                cluster.vm(i).membership.hear(cluster.clock.now());
+                cluster.vm(i).router.tick(cluster.clock.now());
+            }
+        }
+        // What the last tick has sent is still on its way while these flows are placed.
+        std::vector<FlowKey> flows;
+        for (std::uint16_t n = 0; n < kFlows; ++n) {
+            const FlowKey key = FlowCluster::flow(n);
+            if (cluster.homeOf(key) == 3 && cluster.send(3, key, Segment::Syn) == "b") {
+                flows.push_back(key);
+            }
+        }
+        cluster.network.deliver();
+        for (const FlowKey &key : flows) {
+            ++placed;
+            const std::string next = cluster.send(3, key, Segment::Data);
+            cr_expect(next == "b" || next == "FlowOwnerUnknown", "after %d ticks: %s", before,
+                      next.c_str());
+        }
+    }
+    cr_expect_gt(placed, 0);
+}
+
 Test(flowfailure, unknown_flow_is_not_guessed_by_a_new_home)
 {
     FlowCluster cluster(3);
