Print the demo's measures as a table

Cause: tried on a clean clone as a new user would, demo.sh printed the whole JSON object with its series. Change: the demo asks for the table that the README explains. Conclusion: readable output, same truth.

--- a/demo.sh
+++ b/demo.sh
@@ -5,4 +5,4 @@
 tools/checks/install.sh
 cmake -S . -B build -G Ninja
 cmake --build build
-build/tools/radishbench/radishbench run steady
+build/tools/radishbench/radishbench run steady --format=table
