Give the parts of a VM's status headers of their own

Cause: vmstatus.h held three types against the rule of one a header. Change: MemberStatus and UpstreamStatus moved, nothing else touched. Conclusion: no behaviour or assertion changed.

--- a/src/operations/types/vmstatus.h
+++ b/src/operations/types/vmstatus.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "global/name.h"
+#include "operations/types/memberstatus.h"
+#include "operations/types/upstreamstatus.h"
 
 #include <cstdint>
 #include <string>
@@ -8,27 +10,6 @@
 
 namespace radishladder::operations {
 
-//! Another VM as the answering VM sees it.
-struct MemberStatus
-{
-    VmName name;
-    DataCentreName dataCentre;
-    std::string state;
-    std::uint64_t generation = 0;
-
-    bool operator==(const MemberStatus &) const = default;
-};
-
-//! An upstream as the answering VM sees it.
-struct UpstreamStatus
-{
-    UpstreamName name;
-    ServiceName service;
-    std::string state;
-
-    bool operator==(const UpstreamStatus &) const = default;
-};
-
 //! What a VM tells operators of itself.
 struct VmStatus
 {
