--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -23,6 +23,9 @@
 # radish_test(NAME SOURCES file... DEPENDS target...)
 # One Criterion program test_NAME, run with fixed seeds.
 function(radish_test name)
+    if(NOT RADISHLADDER_TESTS)
+        return()
+    endif()
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
     add_executable(test_${name} ${ARG_SOURCES})
     target_link_libraries(test_${name} PRIVATE radishladder_options ${ARG_DEPENDS}
--- /dev/null
+++ b/src/app/operationspages.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <string>
+
+namespace radishladder {
+class IClock;
+}
+namespace radishladder::flows {
+class FlowDirector;
+class FlowTable;
+}
+namespace radishladder::membership {
+class IMembership;
+}
+namespace radishladder::net {
+struct HttpAnswer;
+struct HttpRequest;
+}
+namespace radishladder::routing {
+class RouteTable;
+}
+namespace radishladder::settings {
+struct VmSettings;
+}
+namespace radishladder::telemetry {
+class IMetrics;
+}
+namespace radishladder::upstreams {
+class UpstreamRegistry;
+}
+
+namespace radishladder::app {
+
+//! Answers operators' questions about one VM: /metrics, /status, /upstreams and /flow.
+class OperationsPages
+{
+public:
+    OperationsPages(const settings::VmSettings &settings, const IClock &clock,
+                    const routing::RouteTable &routes, const upstreams::UpstreamRegistry &registry,
+                    const membership::IMembership &membership, flows::FlowTable &table,
+                    const flows::FlowDirector &director, telemetry::IMetrics &metrics);
+
+    net::HttpAnswer answer(const net::HttpRequest &request);
+
+private:
+    std::string metricsText();
+    std::string statusText() const;
+    std::string upstreamsText() const;
+    net::HttpAnswer flowAnswer(const std::string &query);
+
+    const settings::VmSettings &settings;
+    const IClock &clock;
+    const routing::RouteTable &routes;
+    const upstreams::UpstreamRegistry &registry;
+    const membership::IMembership &membership;
+    flows::FlowTable &table;
+    const flows::FlowDirector &director;
+    telemetry::IMetrics &metrics;
+};
+}
--- /dev/null
+++ b/src/app/packetcounters.cpp
@@ -0,0 +1,44 @@
+#include "app/packetcounters.h"
+
+#include "flows/types/flowdecision.h"
+#include "telemetry/icounter.h"
+#include "telemetry/imetrics.h"
+
+namespace radishladder::app {
+PacketCounters::PacketCounters(telemetry::IMetrics &metrics)
+    : metrics(metrics), forwarded(metrics.counter("packets_forwarded_total")),
+      placed(metrics.counter("flows_placed_total")),
+      replaced(metrics.counter("flows_placed_again_total")),
+      malformed(metrics.counter("packets_malformed_total")),
+      bytes(metrics.counter("forwarded_bytes_total"))
+{ }
+
+void PacketCounters::count(const flows::FlowDecision &decision)
+{
+    if (decision.action == flows::FlowAction::Forward) {
+        this->forwarded.add();
+        if (decision.isPlacement) {
+            (decision.isReplacement ? this->replaced : this->placed).add();
+        }
+        return;
+    }
+    const bool isReset = decision.action == flows::FlowAction::Reset;
+    telemetry::ICounter *&counter = (isReset ? this->resets : this->drops)[decision.reason];
+    if (counter == nullptr) {
+        counter =
+            &this->metrics.counter(isReset ? "packets_reset_total" : "packets_dropped_total",
+                                   {{"reason", std::string(resultCodeName(decision.reason))}});
+    }
+    counter->add();
+}
+
+void PacketCounters::countMalformed()
+{
+    this->malformed.add();
+}
+
+void PacketCounters::countBytes(std::size_t count)
+{
+    this->bytes.add(count);
+}
+}
--- /dev/null
+++ b/src/app/packetpath.cpp
@@ -0,0 +1,138 @@
+#include "app/packetpath.h"
+
+#include "app/packetcounters.h"
+#include "flows/flowdirector.h"
+#include "flows/ipacketcodec.h"
+#include "flows/types/flowevidence.h"
+#include "flows/types/flowpacket.h"
+#include "global/iclock.h"
+#include "net/batchsocket.h"
+#include "net/ieventloop.h"
+#include "telemetry/ieventlog.h"
+#include "telemetry/types/logentry.h"
+
+#include <array>
+
+namespace radishladder::app {
+namespace {
+constexpr std::size_t kDatagramBytes = 2048;
+
+std::string_view eventOf(const flows::FlowDecision &decision)
+{
+    switch (decision.action) {
+    case flows::FlowAction::Reset:
+        return "flow.reset";
+    case flows::FlowAction::Drop:
+        return "flow.dropped";
+    case flows::FlowAction::Forward:
+        break;
+    }
+    return decision.isReplacement ? "flow.placed_again" : "flow.placed";
+}
+}
+
+PacketPath::PacketPath(net::IEventLoop &loop, const IClock &clock, const flows::IPacketCodec &codec,
+                       flows::FlowDirector &director, telemetry::IEventLog &log,
+                       telemetry::IMetrics &metrics, const net::Endpoint &local)
+    : loop(loop), clock(clock), codec(codec), director(director), log(log), local(local),
+      counters(std::make_unique<PacketCounters>(metrics))
+{ }
+
+PacketPath::~PacketPath()
+{
+    this->stop();
+}
+
+bool PacketPath::start()
+{
+    this->socket = net::BatchSocket::open(this->local, this->reason);
+    if (!this->socket) {
+        return false;
+    }
+    this->loop.watchReadable(this->socket->descriptor(), [this]() { this->receive(); });
+    return true;
+}
+
+void PacketPath::stop()
+{
+    if (this->socket) {
+        this->loop.unwatch(this->socket->descriptor());
+        this->socket.reset();
+    }
+}
+
+void PacketPath::receive()
+{
+    this->batchTime = this->clock.now();
+    this->lastPacketAt = this->batchTime;
+    this->socket->receive([this](std::span<std::uint8_t> datagram, const net::Endpoint &) {
+        this->handle(datagram);
+    });
+}
+
+void PacketPath::handle(std::span<std::uint8_t> datagram)
+{
+    const auto packet = this->codec.decode(datagram);
+    if (!packet) {
+        this->counters->countMalformed();
+        return;
+    }
+    const flows::FlowDecision decision = this->director.decide(*packet, this->batchTime);
+    this->counters->count(decision);
+    if (decision.action == flows::FlowAction::Forward) {
+        this->forward(datagram, decision);
+    } else if (decision.action == flows::FlowAction::Reset) {
+        this->reset(*packet);
+    }
+    const bool isRoutine = decision.action == flows::FlowAction::Forward && !decision.isPlacement;
+    if (!isRoutine && this->log.accepts(telemetry::LogKind::Flow)) {
+        this->report(*packet, decision);
+    }
+}
+
+void PacketPath::forward(std::span<const std::uint8_t> datagram,
+                         const flows::FlowDecision &decision)
+{
+    std::array<std::uint8_t, kDatagramBytes> out;
+    const std::size_t size =
+        this->codec.encodeForward(datagram, decision.upstream, decision.token, out);
+    if (size == 0) {
+        this->counters->countMalformed();
+        return;
+    }
+    this->counters->countBytes(size);
+    this->socket->send(std::span(out).first(size), decision.address);
+}
+
+void PacketPath::reset(const flows::FlowPacket &packet)
+{
+    std::array<std::uint8_t, kDatagramBytes> out;
+    const std::size_t size = this->codec.encodeReset(packet, out);
+    this->socket->send(std::span(out).first(size), {packet.flow.caller.address, this->local.port});
+}
+
+void PacketPath::report(const flows::FlowPacket &packet, const flows::FlowDecision &decision)
+{
+    telemetry::LogEntry entry(telemetry::LogKind::Flow, eventOf(decision));
+    entry.text("caller", net::endpointText(packet.flow.caller))
+        .text("service", net::endpointText(packet.flow.service))
+        .number("copy", packet.opens ? packet.acknowledged : 0)
+        .number("token", packet.token);
+    if (decision.action == flows::FlowAction::Forward) {
+        entry.text("upstream", upstreams::upstreamIdText(decision.upstream))
+            .text("address", net::endpointText(decision.address));
+    } else {
+        entry.number("code", static_cast<int>(decision.reason))
+            .text("reason", resultCodeName(decision.reason));
+    }
+    const flows::FlowEvidence evidence =
+        this->director.evidence(decision.upstream, this->batchTime);
+    entry.number("configuration", static_cast<std::int64_t>(evidence.configurationVersion))
+        .duration("entry_age_ms", evidence.entryAge)
+        .duration("answer_age_ms", evidence.answerAge)
+        .number("open_flows", evidence.openFlows)
+        .number("busy_flows", evidence.busyFlows)
+        .number("silent_flows", evidence.silentFlows);
+    this->log.write(entry);
+}
+}
--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -1,247 +1,304 @@
 #include "app/vmprocess.h"
 
-#include "app/datapath.h"
-#include "app/fleet.h"
-#include "app/flowparts.h"
-#include "app/requestfront.h"
-#include "app/requestparts.h"
-#include "app/vmstatusprovider.h"
+#include "app/httpcomponent.h"
+#include "app/operationspages.h"
+#include "app/packetpath.h"
+#include "app/stoppolicy.h"
+#include "flows/flowdirector.h"
+#include "flows/flowtable.h"
+#include "global/hash.h"
+#include "global/seededrandom.h"
 #include "global/systemclock.h"
-#include "net/asioeventloop.h"
-#include "net/batchsocket.h"
-#include "net/curlhttpclient.h"
+#include "membership/leasemembership.h"
+#include "net/libeventhttpconnection.h"
+#include "net/libeventloop.h"
 #include "net/types/httpanswer.h"
 #include "net/types/httprequest.h"
-#include "operations/accesspolicy.h"
-#include "operations/admincalls.h"
-#include "operations/adminserver.h"
-#include "settings/types/configuration.h"
-#include "store/etcdstore.h"
+#include "placement/localfirstpolicy.h"
+#include "placement/warmuppacer.h"
+#include "platform/echopacketcodec.h"
+#include "platform/keys.h"
+#include "platform/operatorfeed.h"
+#include "platform/storeclient.h"
+#include "platform/upstreamfeed.h"
+#include "routing/routetable.h"
+#include "routing/routingkeeper.h"
+#include "settings/vmsettingsreader.h"
+#include "store/prefixfollower.h"
 #include "supervision/supervisor.h"
+#include "telemetry/boundedeventlog.h"
+#include "telemetry/descriptorsink.h"
 #include "telemetry/igauge.h"
 #include "telemetry/prometheusmetrics.h"
-#include "telemetry/timeline.h"
+#include "telemetry/types/logentry.h"
+#include "upstreams/upstreamkeeper.h"
+#include "upstreams/upstreamregistry.h"
 
 #include <algorithm>
-#include <atomic>
 #include <csignal>
-#include <sys/signalfd.h>
 #include <unistd.h>
 
 namespace radishladder::app {
 namespace {
-constexpr std::chrono::milliseconds kSupervisionPeriod{100};
-constexpr std::chrono::milliseconds kStopCheck{20};
+using telemetry::LogEntry;
+using telemetry::LogKind;
 
-//! Without arrivals for this long the fabric hands this VM nothing any more.
-constexpr std::chrono::milliseconds kQuietBeforeStop{1000};
+constexpr std::chrono::milliseconds kTickPeriod{250};
+constexpr std::chrono::milliseconds kStopPeriod{50};
+constexpr std::size_t kLogBufferBytes = 256 * 1024;
 
-//! Time for the last answers to leave the server's buffers.
-constexpr std::chrono::milliseconds kAnswerFlush{300};
+//! Room for a flow and its share of the table, in bytes.
+constexpr std::size_t kFlowBytes = 160;
 
-//! How long a stopping VM waits until all others know that it has released its slots.
-constexpr std::chrono::milliseconds kLongestRelease{2000};
+//! Part of the memory that records of flows may take.
+constexpr std::size_t kFlowMemoryDivisor = 4;
 
-//! A stopping VM serves what still arrives for this long at most.
-constexpr std::chrono::seconds kLongestService{15};
+//! A change is heard well within its bound if answers are at most this part of it apart.
+constexpr int kGatherDivisor = 8;
 
-int exitCodeOf(ResultCode code)
+std::size_t flowCapacity(const settings::VmSettings &settings)
 {
-    return static_cast<int>(code) / 100;
+    const std::size_t bytes = static_cast<std::size_t>(settings.memoryMb) * 1024 * 1024;
+    return bytes / kFlowMemoryDivisor / kFlowBytes;
+}
+
+flows::DirectorLimits directorLimits(const settings::VmSettings &settings)
+{
+    return {.warmupOverage = settings.warmupOverage,
+            .warmupSlack = settings.warmupSlack,
+            .evacuationGrace = settings.evacuation * 3 / 5,
+            .judgeSilence = settings.automaticActions};
+}
+
+store::FollowerPacing pacing(std::chrono::milliseconds bound)
+{
+    return {.gather = bound / kGatherDivisor};
 }
 }
 
-//! What the process owns before anything is bound.
 struct VmProcess::Parts
 {
-    explicit Parts(settings::VmSettings vmSettings)
-        : settings(std::move(vmSettings)), client(this->loop, this->settings.data.address)
+    Parts(settings::VmSettings given, std::string path)
+        : settings(std::move(given)), settingsPath(std::move(path)),
+          random(hash64(this->settings.name.str())
+                 ^ static_cast<std::uint64_t>(this->clock.now().time_since_epoch().count())),
+          log(this->clock, this->sink, this->settings.flowLogLines, kLogBufferBytes),
+          registry(this->settings.flowMax), table(flowCapacity(this->settings)),
+          policy(this->random), store([this]() {
+              return std::make_unique<net::LibeventHttpConnection>(this->loop,
+                                                                   this->settings.store);
+          }),
+          membership(this->store, this->loop, this->clock, this->log, this->settings.name,
+                     this->settings.dataCentre),
+          upstreamKeeper(this->registry, this->clock, this->log),
+          routingKeeper(this->routes, this->clock, this->log), upstreamFeed(this->upstreamKeeper),
+          operatorFeed(this->routingKeeper),
+          upstreamFollower(this->store, this->loop, this->upstreamFeed, platform::kUpstreamPrefix,
+                           pacing(this->settings.drain)),
+          operatorFollower(this->store, this->loop, this->operatorFeed, platform::kOperatorPrefix,
+                           pacing(this->settings.configuration)),
+          memberFollower(this->store, this->loop, this->membership,
+                         membership::LeaseMembership::prefix(), pacing(this->settings.drain)),
+          director(this->routes, this->registry, this->membership, this->table, this->policy,
+                   this->pacer, this->settings.name, this->settings.dataCentre,
+                   directorLimits(this->settings)),
+          stopPolicy(this->settings.stop),
+          pages(this->settings, this->clock, this->routes, this->registry, this->membership,
+                this->table, this->director, this->metrics),
+          packets(this->loop, this->clock, this->codec, this->director, this->log, this->metrics,
+                  this->settings.packets),
+          readiness("readiness", this->loop, this->settings.readiness,
+                    [this](const net::HttpRequest &) { return this->answerProbe(); }),
+          operations(
+              "operations", this->loop, this->settings.operations,
+              [this](const net::HttpRequest &request) { return this->pages.answer(request); }),
+          supervisor("root", this->clock, this->log)
     { }
 
+    bool start();
+    void watchSignals();
+    void tick();
+    void noteReadiness();
+    bool isReady() const;
+    net::HttpAnswer answerProbe();
+    void askToStop();
+    void endWhenQuiet();
+    void reload();
+
     settings::VmSettings settings;
+    std::string settingsPath;
     SystemClock clock;
-    net::AsioEventLoop loop;
+    net::LibeventLoop loop;
+    SeededRandom random;
+    telemetry::DescriptorSink sink{STDOUT_FILENO};
+    telemetry::BoundedEventLog log;
     telemetry::PrometheusMetrics metrics;
-    telemetry::TimeLine timeLine{this->clock, this->settings.name, this->settings.dataCentre};
-    net::CurlHttpClient client;
-    store::EtcdStore store{this->client, this->settings.platform};
-    supervision::Supervisor root{"root", this->clock, this->timeLine};
-    std::atomic<bool> ready = false;
-    std::unique_ptr<net::BatchSocket> peerSocket;
-    std::unique_ptr<Running> running;
-    int signals = -1;
-    bool stopping = false;
-    bool refusing = false;
-    std::chrono::steady_clock::time_point releasedAt{};
-    std::chrono::steady_clock::time_point doneAt{};
-    int exitCode = 0;
+    routing::RouteTable routes;
+    upstreams::UpstreamRegistry registry;
+    flows::FlowTable table;
+    placement::LocalFirstPolicy policy;
+    placement::WarmupPacer pacer;
+    platform::StoreClient store;
+    membership::LeaseMembership membership;
+    upstreams::UpstreamKeeper upstreamKeeper;
+    routing::RoutingKeeper routingKeeper;
+    platform::UpstreamFeed upstreamFeed;
+    platform::OperatorFeed operatorFeed;
+    store::PrefixFollower upstreamFollower;
+    store::PrefixFollower operatorFollower;
+    store::PrefixFollower memberFollower;
+    flows::FlowDirector director;
+    platform::EchoPacketCodec codec;
+    StopPolicy stopPolicy;
+    OperationsPages pages;
+    PacketPath packets;
+    HttpComponent readiness;
+    HttpComponent operations;
+    supervision::Supervisor supervisor;
+    bool wasReady = false;
+    Reason reason;
 };
 
-//! What works once the socket between the VMs is bound.
-struct VmProcess::Running
+bool VmProcess::Parts::start()
 {
-    explicit Running(Parts &parts)
-        : fleet(parts.settings, *parts.peerSocket, parts.client, parts.store, parts.clock,
-                parts.timeLine, parts.metrics),
-          flows(parts.settings, this->fleet, parts.client, parts.store, parts.clock, parts.timeLine,
-                parts.metrics),
-          requests(parts.settings, this->fleet, this->flows.upstreams, parts.client, parts.metrics,
-                   parts.clock),
-          status(parts.settings, this->fleet, this->flows, parts.clock),
-          calls(operations::AccessPolicy(parts.settings.adminToken, parts.settings.openReads),
-                this->status, parts.timeLine, this->status),
-          admin(parts.settings.admin, parts.metrics, [&parts] { return parts.ready.load(); }),
-          dataPath(parts.settings.data, *this->flows.router, parts.clock, parts.loop,
-                   parts.metrics),
-          front(parts.settings.requests, *this->requests.handler, parts.loop, parts.clock)
-    {
-        this->admin.serveCalls(this->calls, parts.loop);
-        this->admin.servePath(
-            distribution::DocumentServer::kPath,
-            [this](const net::HttpRequest &request) { return this->fleet.server.answer(request); });
-        parts.root.add(this->admin);
-        parts.root.add(this->dataPath);
-        parts.root.add(this->front);
+    this->supervisor.add(this->packets);
+    this->supervisor.add(this->readiness);
+    this->supervisor.add(this->operations);
+    if (!this->supervisor.start()) {
+        this->reason = this->supervisor.lastReason();
+        return false;
     }
+    this->operatorFollower.start();
+    this->upstreamFollower.start();
+    this->memberFollower.start();
+    this->membership.join();
+    this->watchSignals();
+    this->loop.every(kTickPeriod, [this]() { this->tick(); });
+    this->log.write(LogEntry(LogKind::State, "process.started")
+                        .text("vm", this->settings.name.str())
+                        .text("data_centre", this->settings.dataCentre.str())
+                        .text("packets", net::endpointText(this->settings.packets))
+                        .text("store", net::endpointText(this->settings.store)));
+    return true;
+}
 
-    Fleet fleet;
-    FlowParts flows;
-    RequestParts requests;
-    VmStatusProvider status;
-    operations::AdminCalls calls;
-    operations::AdminServer admin;
-    DataPath dataPath;
-    RequestFront front;
-};
+void VmProcess::Parts::watchSignals()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    this->loop.watchSignal(SIGTERM, [this]() { this->askToStop(); });
+    this->loop.watchSignal(SIGINT, [this]() { this->askToStop(); });
+    this->loop.watchSignal(SIGHUP, [this]() { this->reload(); });
+}
 
-VmProcess::VmProcess(settings::VmSettings settings)
-    : parts(std::make_unique<Parts>(std::move(settings)))
-{ }
+void VmProcess::Parts::tick()
+{
+    const auto now = this->clock.now();
+    this->upstreamKeeper.tick();
+    this->table.sweep(now, this->routes.idleTimeout());
+    this->pacer.sweep(now);
+    this->supervisor.supervise();
+    this->noteReadiness();
+    this->metrics.gauge("store_calls").set(static_cast<double>(this->store.calls()));
+    this->metrics.gauge("log_lines_left_out").set(static_cast<double>(this->log.leftOut()));
+    this->log.flush();
+    if (!this->supervisor.isHealthy()) {
+        this->reason = this->supervisor.lastReason();
+        this->loop.stop();
+    }
+}
+
+bool VmProcess::Parts::isReady() const
+{
+    return this->routes.isLoaded() && this->upstreamKeeper.isSynchronized()
+        && !this->stopPolicy.isStopping();
+}
 
-VmProcess::~VmProcess()
+void VmProcess::Parts::noteReadiness()
 {
-    if (this->parts->signals >= 0) {
-        ::close(this->parts->signals);
+    const bool ready = this->isReady();
+    if (ready != this->wasReady) {
+        this->wasReady = ready;
+        this->log.write(
+            LogEntry(LogKind::State, ready ? "process.ready" : "process.not_ready")
+                .number("configuration", static_cast<std::int64_t>(this->routes.version()))
+                .number("upstreams", static_cast<std::int64_t>(this->registry.live().size())));
     }
 }
 
-int VmProcess::run()
+net::HttpAnswer VmProcess::Parts::answerProbe()
 {
-    Parts &parts = *this->parts;
-    this->watchSignals();
-    Reason reason;
-    parts.peerSocket = net::BatchSocket::open(parts.settings.peer, reason);
-    if (parts.peerSocket) {
-        parts.running = std::make_unique<Running>(parts);
-        if (!parts.root.start()) {
-            reason = parts.root.lastReason();
-        }
+    this->noteReadiness();
+    if (this->isReady()) {
+        return {.body = "{}"};
     }
-    if (reason.code != ResultCode::Ok) {
-        parts.timeLine.record(
-            {.kind = "vm.start-failed", .reason = reason.code, .detail = reason.detail});
-        return exitCodeOf(reason.code);
+    if (this->stopPolicy.isStopping()) {
+        this->stopPolicy.noteProbeRefused();
     }
-    parts.timeLine.record({.kind = "vm.started"});
-    this->startTicks();
-    parts.loop.run();
-    return parts.exitCode;
+    return {.status = 503, .body = "{}"};
 }
 
-void VmProcess::startTicks()
-{
-    Parts &parts = *this->parts;
-    Running &running = *parts.running;
-    running.fleet.run(parts.loop);
-    running.flows.run(parts.loop, parts.clock);
-    running.requests.run(parts.loop, parts.clock);
-    running.fleet.configuration.subscribe([&parts](const settings::Configuration &accepted) {
-        parts.metrics.gauge("configuration_generation")
-            .set(static_cast<double>(accepted.generation));
-    });
-    parts.loop.every(kSupervisionPeriod, [this, &parts, &running] {
-        parts.root.supervise();
-        parts.ready = !parts.stopping && running.fleet.configuration.current()->generation > 0;
-        if (!parts.root.isHealthy()) {
-            parts.exitCode = exitCodeOf(ResultCode::ComponentEscalated);
-            this->finishStop();
-        }
-    });
-}
-
-void VmProcess::watchSignals()
-{
-    sigset_t set;
-    sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    this->parts->signals = ::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
-    this->parts->loop.watchReadable(this->parts->signals, [this] {
-        signalfd_siginfo info{};
-        while (::read(this->parts->signals, &info, sizeof info) == sizeof info) {
-            if (this->parts->stopping) {
-                this->finishStop();
-            } else {
-                this->beginStop();
-            }
-        }
-    });
-}
-
-void VmProcess::beginStop()
-{
-    Parts &parts = *this->parts;
-    Running &running = *parts.running;
-    parts.stopping = true;
-    parts.ready = false;
-    parts.timeLine.record({.kind = "vm.stopping"});
-    running.fleet.membership.announceLeaving();
-    running.flows.router->prepareStop(parts.clock.now());
-    const auto stopBegan = parts.clock.now();
-    parts.loop.every(kStopCheck, [this, stopBegan] { this->continueStop(stopBegan); });
-}
-
-void VmProcess::continueStop(std::chrono::steady_clock::time_point stopBegan)
+void VmProcess::Parts::askToStop()
 {
-    Parts &parts = *this->parts;
-    Running &running = *parts.running;
-    const auto now = parts.clock.now();
-    // The fabric learns late that this VM is leaving; until nothing arrives any more everything is
-    // served as before.
-    const auto lastArrival =
-        std::max({stopBegan, running.dataPath.lastArrival(), running.front.lastArrival()});
-    const bool isQuiet = now - lastArrival >= kQuietBeforeStop;
-    if (!parts.refusing && (isQuiet || now - stopBegan >= kLongestService)) {
-        parts.refusing = true;
-        parts.timeLine.record({.kind = "vm.refusing"});
-        running.requests.handler->stopAccepting();
-    }
-    if (!parts.refusing || running.requests.handler->running() > 0) {
+    if (this->stopPolicy.isStopping()) {
         return;
     }
-    upstreams::Upstreams &upstreams = running.flows.upstreams;
-    if (parts.releasedAt == std::chrono::steady_clock::time_point()) {
-        parts.releasedAt = now;
-        upstreams.announceRelease();
+    this->stopPolicy.askToStop(this->clock.now());
+    this->membership.leave();
+    this->log.write(LogEntry(LogKind::State, "process.stopping"));
+    this->loop.every(kStopPeriod, [this]() { this->endWhenQuiet(); });
+}
+
+void VmProcess::Parts::endWhenQuiet()
+{
+    if (this->stopPolicy.mayEnd(this->packets.lastPacket(), this->clock.now())) {
+        this->log.write(LogEntry(LogKind::State, "process.stopped")
+                            .number("flows", static_cast<std::int64_t>(this->table.size())));
+        this->loop.stop();
     }
-    const bool isReleased =
-        upstreams.isReleaseKnown(now) || now - parts.releasedAt >= kLongestRelease;
-    if (!isReleased || !running.flows.router->isReadyToStop(now)) {
+}
+
+void VmProcess::Parts::reload()
+{
+    settings::VmSettingsReader reader;
+    const auto changed = reader.read(this->settingsPath);
+    if (!changed) {
+        this->log.write(LogEntry(LogKind::State, "settings.rejected")
+                            .text("code", resultCodeName(reader.lastReason().code))
+                            .text("detail", reader.lastReason().detail));
         return;
     }
-    if (parts.doneAt == std::chrono::steady_clock::time_point()) {
-        parts.doneAt = now;
-    }
-    // The server writes its last answers on threads of its own.
-    if (now - parts.doneAt >= kAnswerFlush) {
-        this->finishStop();
+    const bool sameAddresses = changed->packets == this->settings.packets
+        && changed->readiness == this->settings.readiness
+        && changed->operations == this->settings.operations
+        && changed->store == this->settings.store;
+    this->settings.automaticActions = changed->automaticActions;
+    this->settings.warmupOverage = changed->warmupOverage;
+    this->settings.warmupSlack = changed->warmupSlack;
+    this->settings.evacuation = changed->evacuation;
+    this->director.setLimits(directorLimits(this->settings));
+    this->log.write(LogEntry(LogKind::State, "settings.reloaded")
+                        .text("addresses", sameAddresses ? "unchanged" : "need a restart"));
+}
+
+VmProcess::VmProcess(settings::VmSettings settings, std::string settingsPath)
+    : parts(std::make_unique<Parts>(std::move(settings), std::move(settingsPath)))
+{ }
+
+VmProcess::~VmProcess() = default;
+
+bool VmProcess::run()
+{
+    if (!this->parts->start()) {
+        return false;
     }
+    this->parts->loop.run();
+    this->parts->supervisor.stop();
+    this->parts->log.flush();
+    return this->parts->reason.code == ResultCode::Ok;
 }
 
-void VmProcess::finishStop()
+Reason VmProcess::lastReason() const
 {
-    this->parts->timeLine.record({.kind = "vm.stopped"});
-    this->parts->root.stop();
-    this->parts->loop.stop();
+    return this->parts->reason;
 }
 }
--- a/src/app/vmprocess.h
+++ b/src/app/vmprocess.h
@@ -3,31 +3,27 @@
 #include "global/reason.h"
 #include "settings/types/vmsettings.h"
 
-#include <chrono>
 #include <memory>
+#include <string>
 
 namespace radishladder::app {
 
-//! Everything that runs in one radishladderd, assembled and wired.
+//! One VM's process: wires the modules together and runs them on one thread.
 class VmProcess
 {
 public:
-    explicit VmProcess(settings::VmSettings settings);
+    //! \a settingsPath is read again when the process is told to reload.
+    VmProcess(settings::VmSettings settings, std::string settingsPath);
     ~VmProcess();
 
-    //! Runs until a signal ends it; the code for the process to exit with.
-    int run();
+    //! Runs until the process is asked to stop; false if it could not start or a component keeps
+    //! failing (see lastReason()).
+    bool run();
+
+    Reason lastReason() const;
 
 private:
     struct Parts;
-    struct Running;
-
-    void startTicks();
-    void watchSignals();
-    void beginStop();
-    void continueStop(std::chrono::steady_clock::time_point stopBegan);
-    void finishStop();
-
     std::unique_ptr<Parts> parts;
 };
 }
--- /dev/null
+++ b/src/flows/tests/directorfixture.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "flows/flowdirector.h"
+#include "flows/flowtable.h"
+#include "flows/types/flowpacket.h"
+#include "global/seededrandom.h"
+#include "membership/imembership.h"
+#include "placement/localfirstpolicy.h"
+#include "placement/warmuppacer.h"
+#include "routing/routetable.h"
+#include "routing/types/configuration.h"
+#include "upstreams/types/upstreamrecord.h"
+#include "upstreams/upstreamregistry.h"
+
+namespace radishladder::flows {
+
+//! Members as the test sets them.
+class FakeMembership : public membership::IMembership
+{
+public:
+    std::vector<VmName> members(const DataCentreName &dataCentre) const override
+    {
+        return dataCentre == DataCentreName("obuda") ? this->local : this->remote;
+    }
+    std::vector<VmName> allMembers() const override
+    {
+        std::vector<VmName> all = this->local;
+        all.insert(all.end(), this->remote.begin(), this->remote.end());
+        return all;
+    }
+
+    std::vector<VmName> local{VmName("a")};
+    std::vector<VmName> remote{VmName("r")};
+};
+
+//! One VM in obuda with a route to the service "portal" at port 80 and to "intake" at port 90.
+struct DirectorFixture
+{
+    explicit DirectorFixture(const char *self = "a", std::uint64_t seed = 1)
+        : random(seed),
+          director(this->routes, this->registry, this->membership, this->table, this->policy,
+                   this->pacer, VmName(self), DataCentreName("obuda"), {})
+    {
+        this->configure(1, {80, 90});
+    }
+
+    void configure(std::uint64_t version, std::initializer_list<std::uint16_t> ports)
+    {
+        routing::Configuration configuration{.version = version};
+        for (const std::uint16_t port : ports) {
+            configuration.routes.push_back(
+                {.address = {1, port},
+                 .services = {{ServiceName(port == 80 ? "portal" : "intake"), 1}}});
+        }
+        configuration.services[ServiceName("portal")] = {.maxConnections = 2000,
+                                                         .warmupFlowsPerSecond = 10};
+        this->routes.apply(std::move(configuration));
+    }
+
+    upstreams::Upstream add(std::uint64_t id, const char *dataCentre = "obuda",
+                            const char *service = "portal")
+    {
+        upstreams::Upstream upstream{.id = {id},
+                                     .service = ServiceName(service),
+                                     .dataCentre = DataCentreName(dataCentre),
+                                     .address = {static_cast<std::uint32_t>(id), 8000},
+                                     .slots = 3,
+                                     .createdRevision = id};
+        this->registry.update(upstream, this->now);
+        return upstream;
+    }
+
+    FlowPacket opening(std::uint16_t callerPort, std::uint32_t copy = 0,
+                       std::uint16_t servicePort = 80) const
+    {
+        return {.flow = {{9, callerPort}, {1, servicePort}},
+                .opens = true,
+                .sequence = 100,
+                .acknowledged = copy};
+    }
+
+    FlowPacket data(std::uint16_t callerPort, std::uint64_t upstream, std::uint32_t sequence,
+                    std::uint32_t acknowledged = 500) const
+    {
+        return {.flow = {{9, callerPort}, {1, 80}},
+                .sequence = sequence,
+                .acknowledged = acknowledged,
+                .token = upstreams::flowToken({upstream}),
+                .payloadBytes = 200};
+    }
+
+    FlowDecision decide(const FlowPacket &packet)
+    {
+        return this->director.decide(packet, this->now);
+    }
+
+    std::chrono::steady_clock::time_point now{std::chrono::hours(1)};
+    SeededRandom random;
+    routing::RouteTable routes;
+    upstreams::UpstreamRegistry registry{std::chrono::seconds(60)};
+    FakeMembership membership;
+    FlowTable table{10000};
+    placement::LocalFirstPolicy policy{this->random};
+    placement::WarmupPacer pacer;
+    FlowDirector director;
+};
+}
--- /dev/null
+++ b/src/flows/tests/flowdirectortest.cpp
@@ -0,0 +1,278 @@
+#include "directorfixture.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <map>
+#include <rapidcheck.h>
+
+using namespace radishladder;
+using namespace radishladder::flows;
+using namespace std::chrono_literals;
+
+Test(flowdirector, first_packets_that_cannot_be_served_are_reset_at_once)
+{
+    struct Row
+    {
+        const char *name;
+        std::uint16_t port;
+        std::uint32_t copy;
+        FlowAction action;
+        ResultCode reason;
+    };
+    const Row rows[] = {
+        {"no route", 81, 0, FlowAction::Reset, ResultCode::FlowNoRoute},
+        {"no route, later copy", 81, 1, FlowAction::Drop, ResultCode::FlowNoRoute},
+        {"no upstream", 90, 0, FlowAction::Reset, ResultCode::FlowNoUpstream},
+        {"no upstream, later copy", 90, 2, FlowAction::Drop, ResultCode::FlowNoUpstream},
+    };
+    for (const Row &row : rows) {
+        DirectorFixture f;
+        f.add(1);
+        const FlowDecision decision = f.decide(f.opening(1000, row.copy, row.port));
+        cr_assert_eq(decision.action, row.action, "%s", row.name);
+        cr_assert_eq(decision.reason, row.reason, "%s", row.name);
+    }
+}
+
+Test(flowdirector, any_vm_forwards_a_flow_by_its_token)
+{
+    DirectorFixture first("a", 1);
+    DirectorFixture second("b", 2);
+    for (std::uint64_t id = 1; id <= 5; ++id) {
+        first.add(id);
+        second.add(id);
+    }
+    for (std::uint16_t port = 1; port <= 200; ++port) {
+        const FlowDecision placed = first.decide(first.opening(port));
+        FlowPacket packet = second.data(port, placed.upstream.value, 101);
+        const FlowDecision forwarded = second.decide(packet);
+        cr_assert_eq(forwarded.action, FlowAction::Forward);
+        cr_assert_eq(forwarded.upstream.value, placed.upstream.value);
+        cr_assert_eq(forwarded.token, placed.token);
+    }
+}
+
+Test(flowdirector, new_flows_avoid_what_must_not_get_them)
+{
+    struct Row
+    {
+        const char *name;
+        void (*change)(DirectorFixture &);
+    };
+    const Row rows[] = {
+        {"draining",
+         [](DirectorFixture &f) {
+             auto upstream = f.add(1);
+             upstream.draining = true;
+             f.registry.update(upstream, f.now);
+         }},
+        {"gone", [](DirectorFixture &f) { f.registry.remove({1}, true, f.now); }},
+        {"data centre out",
+         [](DirectorFixture &f) { f.routes.evacuate(DataCentreName("obuda"), f.now); }},
+        {"cold and warmed by another VM",
+         [](DirectorFixture &f) {
+             auto upstream = f.add(1);
+             upstream.warmupLeft = 5s;
+             f.registry.update(upstream, f.now);
+             f.membership.local = {VmName("z")};
+         }},
+    };
+    for (const Row &row : rows) {
+        DirectorFixture f;
+        f.add(1);
+        f.add(2, "kobanya");
+        cr_assert_eq(f.decide(f.opening(1)).upstream.value, 1U, "%s", row.name);
+        row.change(f);
+        for (std::uint16_t port = 2; port <= 20; ++port) {
+            cr_assert_eq(f.decide(f.opening(port)).upstream.value, 2U, "%s", row.name);
+        }
+        // A copy of a first packet that was placed before the change is placed anew.
+        f.now += 200ms;
+        const FlowDecision again = f.decide(f.opening(1, 1));
+        cr_assert_eq(again.upstream.value, 2U, "%s", row.name);
+        cr_assert(again.isReplacement, "%s", row.name);
+    }
+}
+
+Test(flowdirector, a_copy_stays_if_others_were_answered_and_moves_if_not)
+{
+    for (const bool answersOthers : {true, false}) {
+        DirectorFixture f;
+        f.add(1);
+        f.add(2, "kobanya");
+        f.decide(f.opening(1));
+        f.decide(f.opening(2));
+        f.now += 50ms;
+        if (answersOthers) {
+            f.decide(f.data(2, 1, 101));
+        }
+        f.now += 150ms;
+        const FlowDecision copy = f.decide(f.opening(1, 1));
+        cr_assert_eq(copy.upstream.value, answersOthers ? 1U : 2U);
+    }
+}
+
+Test(flowdirector, the_answer_that_the_caller_took_first_keeps_the_flow)
+{
+    DirectorFixture f;
+    f.add(1);
+    f.add(2, "kobanya");
+    f.decide(f.opening(1));
+    f.now += 200ms;
+    cr_assert_eq(f.decide(f.opening(1, 1)).upstream.value, 2U);
+    cr_assert_eq(f.decide(f.data(1, 1, 101)).upstream.value, 1U);
+    // The second answer arrives late and changes the token that the caller carries.
+    const FlowDecision late = f.decide(f.data(1, 2, 301));
+    cr_assert_eq(late.upstream.value, 1U);
+    cr_assert_eq(late.token, upstreams::flowToken({1}));
+}
+
+Test(flowdirector, open_flows_survive_every_planned_change)
+{
+    struct Row
+    {
+        const char *name;
+        void (*change)(DirectorFixture &);
+    };
+    const Row rows[] = {
+        {"draining",
+         [](DirectorFixture &f) {
+             auto upstream = f.add(1);
+             upstream.draining = true;
+             f.registry.update(upstream, f.now);
+         }},
+        {"entry gone", [](DirectorFixture &f) { f.registry.remove({1}, true, f.now); }},
+        {"entry lapsed", [](DirectorFixture &f) { f.registry.remove({1}, false, f.now); }},
+        {"new configuration", [](DirectorFixture &f) { f.configure(9, {80}); }},
+        {"cold again",
+         [](DirectorFixture &f) {
+             auto upstream = f.add(1);
+             upstream.warmupLeft = 5s;
+             upstream.incarnation = 2;
+             f.registry.update(upstream, f.now);
+         }},
+    };
+    for (const Row &row : rows) {
+        DirectorFixture f;
+        f.add(1);
+        f.decide(f.opening(1));
+        f.decide(f.data(1, 1, 101));
+        f.add(2);
+        row.change(f);
+        for (std::uint32_t i = 1; i < 50; ++i) {
+            f.now += 100ms;
+            const FlowDecision decision = f.decide(f.data(1, 1, 101 + i * 200, 500 + i * 100));
+            cr_assert_eq(decision.action, FlowAction::Forward, "%s", row.name);
+            cr_assert_eq(decision.upstream.value, 1U, "%s", row.name);
+        }
+    }
+}
+
+Test(flowdirector, a_flow_is_reset_only_when_its_upstream_has_ended_and_it_is_stuck)
+{
+    DirectorFixture f;
+    f.add(1);
+    f.decide(f.opening(1));
+    f.decide(f.data(1, 1, 101));
+    f.registry.remove({1}, true, f.now);
+    cr_assert_eq(f.decide(f.data(1, 1, 101)).action, FlowAction::Forward);
+    f.now += 200ms;
+    const FlowDecision stuck = f.decide(f.data(1, 1, 101));
+    cr_assert_eq(stuck.action, FlowAction::Reset);
+    cr_assert_eq(stuck.reason, ResultCode::FlowUpstreamGone);
+}
+
+Test(flowdirector, flows_of_a_removed_route_end_and_others_do_not)
+{
+    DirectorFixture f;
+    f.add(1);
+    f.decide(f.opening(1));
+    f.decide(f.data(1, 1, 101));
+    f.configure(2, {90});
+    cr_assert_eq(f.decide(f.data(1, 1, 301)).reason, ResultCode::FlowRouteRemoved);
+    FlowPacket unheard = f.data(2, 1, 101);
+    unheard.flow.service.port = 99;
+    cr_assert_eq(f.decide(unheard).action, FlowAction::Forward);
+}
+
+Test(flowdirector, a_data_centre_that_is_out_gets_nothing_after_the_grace)
+{
+    DirectorFixture f;
+    f.add(1);
+    f.decide(f.opening(1));
+    f.decide(f.data(1, 1, 101));
+    f.routes.evacuate(DataCentreName("obuda"), f.now);
+    f.now += 3s;
+    cr_assert_eq(f.decide(f.data(1, 1, 301, 600)).action, FlowAction::Forward);
+    f.now += 1s;
+    cr_assert_eq(f.decide(f.data(1, 1, 501, 700)).reason, ResultCode::FlowDataCentreOut);
+}
+
+Test(flowdirector, without_configuration_or_with_an_unknown_token_nothing_is_guessed)
+{
+    DirectorFixture f;
+    f.add(1);
+    cr_assert_eq(f.decide(f.data(1, 77, 101)).reason, ResultCode::FlowTokenUnknown);
+    FlowPacket bare = f.data(1, 1, 101);
+    bare.token = 0;
+    cr_assert_eq(f.decide(bare).reason, ResultCode::FlowTokenUnknown);
+}
+
+Test(flowdirector, herd_of_cold_upstreams_keeps_to_the_bound_over_all_vms)
+{
+    // Six VMs that agree on the members, 2,000 new flows a second, six upstreams cold of eight.
+    std::vector<std::unique_ptr<DirectorFixture>> vms;
+    std::vector<VmName> names;
+    for (const char *name : {"a", "b", "c", "d", "e", "f"}) {
+        names.emplace_back(name);
+        vms.push_back(std::make_unique<DirectorFixture>(name, names.size()));
+    }
+    for (const auto &vm : vms) {
+        vm->membership.local = names;
+        for (std::uint64_t id = 1; id <= 8; ++id) {
+            auto upstream = vm->add(id);
+            upstream.warmupLeft = id <= 6 ? 5s : 0s;
+            vm->registry.update(upstream, vm->now);
+        }
+    }
+    std::map<std::uint64_t, std::vector<std::chrono::steady_clock::time_point>> arrivals;
+    for (std::uint16_t port = 0; port < 8000; ++port) {
+        DirectorFixture &vm = *vms[port % vms.size()];
+        vm.now = std::chrono::steady_clock::time_point(1h) + port * 500us;
+        arrivals[vm.decide(vm.opening(port)).upstream.value].push_back(vm.now);
+    }
+    const std::size_t bound = 10 * 3 / 2 + 5;
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+        const auto &times = arrivals[id];
+        cr_assert_gt(times.size(), 10U);
+        for (std::size_t i = bound; i < times.size(); ++i) {
+            cr_assert(times[i] - times[i - bound] > 1s, "upstream %lu", id);
+        }
+    }
+}
+
+Test(flowdirector, no_packet_reaches_another_service)
+{
+    rc::check([](const std::vector<std::array<std::uint8_t, 3>> &steps) {
+        DirectorFixture f;
+        for (std::uint64_t id = 1; id <= 8; ++id) {
+            f.add(id, id % 3 == 0 ? "kobanya" : "obuda", id % 2 == 0 ? "portal" : "intake");
+        }
+        for (const auto &[what, id, port] : steps) {
+            f.now += 40ms;
+            const std::uint64_t upstream = id % 8 + 1U;
+            if (what % 8 == 0) {
+                f.registry.remove({upstream}, what % 16 == 0, f.now);
+            } else if (what % 8 == 1) {
+                f.add(upstream, "obuda", upstream % 2 == 0 ? "portal" : "intake");
+            } else {
+                const std::uint16_t service = port % 2 == 0 ? 80 : 90;
+                const FlowDecision decision = f.decide(f.opening(port, what % 3U, service));
+                const bool isPortal = decision.upstream.value % 2 == 0;
+                const bool isRight =
+                    decision.action != FlowAction::Forward || isPortal == (service == 80);
+                RC_ASSERT(isRight);
+            }
+        }
+    });
+}
--- a/src/flows/types/flowkey.h
+++ b/src/flows/types/flowkey.h
@@ -2,20 +2,30 @@
 
 #include "net/types/endpoint.h"
 
+#include <compare>
 #include <cstdint>
+#include <functional>
 
 namespace radishladder::flows {
 
-//! Five-tuple of a flow in the direction from caller to service.
+//! The two ends of a flow as the caller sees them.
 struct FlowKey
 {
     net::Endpoint caller;
     net::Endpoint service;
-    std::uint8_t protocol = 0;
 
     auto operator<=>(const FlowKey &) const = default;
-
-    //! Equal on every VM.
-    std::uint64_t hash() const;
 };
+
+//! 64-bit hash of \a key that is equal on every VM.
+std::uint64_t flowHash(const FlowKey &key);
 }
+
+template <>
+struct std::hash<radishladder::flows::FlowKey>
+{
+    std::size_t operator()(const radishladder::flows::FlowKey &key) const noexcept
+    {
+        return radishladder::flows::flowHash(key);
+    }
+};
--- a/src/framework/net/ieventloop.h
+++ b/src/framework/net/ieventloop.h
@@ -1,22 +1,18 @@
 #pragma once
 
 #include <chrono>
-#include <cstdint>
 #include <functional>
 
 namespace radishladder::net {
 
-//! One thread that runs everything handed to it in order; only post() may be called from other
-//! threads.
+//! One thread that runs timers and socket handlers in turn; nothing here may be called from another
+//! thread.
 class IEventLoop
 {
 public:
     virtual ~IEventLoop() = default;
 
-    //! Runs \a task on the loop's thread.
-    virtual void post(std::function<void()> task) = 0;
-
-    //! Runs \a task every \a period until the loop stops.
+    //! Runs \a task every \a period until the loop is destroyed.
     virtual void every(std::chrono::milliseconds period, std::function<void()> task) = 0;
 
     //! Runs \a task once after \a delay.
@@ -28,10 +24,13 @@
     //! Forgets \a descriptor; call it before the descriptor is closed.
     virtual void unwatch(int descriptor) = 0;
 
+    //! Calls \a task when the process receives \a signal.
+    virtual void watchSignal(int signal, std::function<void()> task) = 0;
+
     //! Runs until stop() is called.
     virtual void run() = 0;
 
-    //! Ends run(); may be called from any thread.
+    //! Ends run() after the current handler.
     virtual void stop() = 0;
 };
 }
--- a/src/framework/net/ihttpserver.h
+++ b/src/framework/net/ihttpserver.h
@@ -3,23 +3,24 @@
 #include "global/reason.h"
 
 #include <functional>
-#include <memory>
 
 namespace radishladder::net {
-class IHttpResponder;
+struct Endpoint;
+struct HttpAnswer;
 struct HttpRequest;
 
-//! Receives HTTP requests and hands them over whole.
+//! Answers HTTP requests on the event loop.
 class IHttpServer
 {
 public:
-    using Handler = std::function<void(HttpRequest, std::shared_ptr<IHttpResponder>)>;
+    using Handler = std::function<HttpAnswer(const HttpRequest &)>;
 
     virtual ~IHttpServer() = default;
 
-    //! Binds and serves; \a handler is called on server threads. False if the port cannot be bound.
-    virtual bool start(Handler handler) = 0;
+    //! Serves \a handler at \a local; false if the address cannot be bound (see lastReason()).
+    virtual bool start(const Endpoint &local, Handler handler) = 0;
 
+    //! Closes the listening socket.
     virtual void stop() = 0;
 
     virtual Reason lastReason() const = 0;
--- /dev/null
+++ b/src/framework/net/internal/libeventhttpconnection.cpp
@@ -0,0 +1,150 @@
+#include "net/libeventhttpconnection.h"
+
+#include "net/libeventloop.h"
+#include "net/types/httprequest.h"
+#include "net/types/httpresult.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace radishladder::net {
+namespace {
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+constexpr unsigned int kUnacknowledgedMs = 2000;
+
+evhttp_cmd_type commandOf(HttpMethod method)
+{
+    switch (method) {
+    case HttpMethod::Post:
+        return EVHTTP_REQ_POST;
+    case HttpMethod::Delete:
+        return EVHTTP_REQ_DELETE;
+    case HttpMethod::Get:
+        break;
+    }
+    return EVHTTP_REQ_GET;
+}
+
+//! A peer that has lost power or is cut off never closes its connection: only these limits show it.
+void limitSilence(int descriptor)
+{
+    const int on = 1;
+    ::setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleSeconds,
+                 sizeof kKeepAliveIdleSeconds);
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveIntervalSeconds,
+                 sizeof kKeepAliveIntervalSeconds);
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes, sizeof kKeepAliveProbes);
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMs,
+                 sizeof kUnacknowledgedMs);
+}
+
+std::string bodyOf(evhttp_request *request)
+{
+    evbuffer *input = evhttp_request_get_input_buffer(request);
+    std::string body(evbuffer_get_length(input), '\0');
+    evbuffer_copyout(input, body.data(), body.size());
+    return body;
+}
+
+HttpResult resultOf(evhttp_request *request)
+{
+    if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
+        return {.reason = {ResultCode::StoreUnreachable, "no answer"}};
+    }
+    return {.status = evhttp_request_get_response_code(request), .body = bodyOf(request)};
+}
+}
+
+struct LibeventHttpConnection::State
+{
+    event_base *base = nullptr;
+    Endpoint server;
+    std::string host;
+    evhttp_connection *connection = nullptr;
+    Handler handler;
+
+    //! Connection that failed; freed outside its own callback.
+    evhttp_connection *discarded = nullptr;
+
+    void connect()
+    {
+        this->connection = evhttp_connection_base_new(
+            this->base, nullptr, addressText(this->server.address).c_str(), this->server.port);
+        evhttp_connection_set_retries(this->connection, 0);
+    }
+
+    void release(evhttp_connection *&old)
+    {
+        if (old != nullptr) {
+            evhttp_connection_free(old);
+            old = nullptr;
+        }
+    }
+
+    static void onDone(evhttp_request *request, void *context)
+    {
+        auto *state = static_cast<State *>(context);
+        const HttpResult result = resultOf(request);
+        if (result.status == 0) {
+            state->discarded = state->connection;
+            state->connection = nullptr;
+        }
+        const Handler handler = std::move(state->handler);
+        state->handler = nullptr;
+        handler(result);
+    }
+};
+
+LibeventHttpConnection::LibeventHttpConnection(LibeventLoop &loop, const Endpoint &server)
+    : state(std::make_unique<State>())
+{
+    this->state->base = loop.base();
+    this->state->server = server;
+    this->state->host = endpointText(server);
+}
+
+LibeventHttpConnection::~LibeventHttpConnection()
+{
+    this->state->handler = [](const HttpResult &) {};
+    this->state->release(this->state->discarded);
+    this->state->release(this->state->connection);
+}
+
+void LibeventHttpConnection::send(const HttpRequest &request, Handler handler)
+{
+    this->state->release(this->state->discarded);
+    if (this->state->connection == nullptr) {
+        this->state->connect();
+    }
+    this->state->handler = std::move(handler);
+    evhttp_request *outgoing = evhttp_request_new(State::onDone, this->state.get());
+    evkeyvalq *headers = evhttp_request_get_output_headers(outgoing);
+    evhttp_add_header(headers, "Host", this->state->host.c_str());
+    if (!request.body.empty()) {
+        evhttp_add_header(headers, "Content-Type", "application/json");
+        evbuffer_add(evhttp_request_get_output_buffer(outgoing), request.body.data(),
+                     request.body.size());
+    }
+    const auto timeoutMs = request.timeout.count();
+    const timeval timeout{timeoutMs / 1000, timeoutMs % 1000 * 1000};
+    evhttp_connection *connection = this->state->connection;
+    evhttp_connection_set_timeout_tv(connection, &timeout);
+    const std::string target =
+        request.query.empty() ? request.path : request.path + "?" + request.query;
+    if (evhttp_make_request(connection, outgoing, commandOf(request.method), target.c_str()) != 0) {
+        return;
+    }
+    const int descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    if (descriptor >= 0) {
+        limitSilence(descriptor);
+    }
+}
+}
--- /dev/null
+++ b/src/framework/net/internal/libeventhttpserver.cpp
@@ -0,0 +1,105 @@
+#include "net/libeventhttpserver.h"
+
+#include "net/libeventloop.h"
+#include "net/types/endpoint.h"
+#include "net/types/httpanswer.h"
+#include "net/types/httprequest.h"
+
+#include <cerrno>
+#include <cstring>
+#include <event2/buffer.h>
+#include <event2/http.h>
+
+namespace radishladder::net {
+namespace {
+constexpr int kIdleSeconds = 10;
+constexpr int kMaxBodyBytes = 64 * 1024;
+constexpr int kMaxHeaderBytes = 16 * 1024;
+
+HttpMethod methodOf(evhttp_request *request)
+{
+    switch (evhttp_request_get_command(request)) {
+    case EVHTTP_REQ_POST:
+        return HttpMethod::Post;
+    case EVHTTP_REQ_DELETE:
+        return HttpMethod::Delete;
+    default:
+        return HttpMethod::Get;
+    }
+}
+
+HttpRequest requestOf(evhttp_request *incoming)
+{
+    HttpRequest request{.method = methodOf(incoming)};
+    const evhttp_uri *uri = evhttp_request_get_evhttp_uri(incoming);
+    const char *path = evhttp_uri_get_path(uri);
+    const char *query = evhttp_uri_get_query(uri);
+    request.path = path == nullptr ? "" : path;
+    request.query = query == nullptr ? "" : query;
+    evbuffer *input = evhttp_request_get_input_buffer(incoming);
+    request.body.resize(evbuffer_get_length(input));
+    evbuffer_copyout(input, request.body.data(), request.body.size());
+    return request;
+}
+}
+
+struct LibeventHttpServer::State
+{
+    event_base *base = nullptr;
+    evhttp *server = nullptr;
+    Handler handler;
+    Reason reason;
+
+    static void onRequest(evhttp_request *incoming, void *context)
+    {
+        const HttpAnswer answer = static_cast<State *>(context)->handler(requestOf(incoming));
+        evhttp_add_header(evhttp_request_get_output_headers(incoming), "Content-Type",
+                          answer.contentType.c_str());
+        evbuffer *body = evhttp_request_get_output_buffer(incoming);
+        evbuffer_add(body, answer.body.data(), answer.body.size());
+        evhttp_send_reply(incoming, answer.status, nullptr, nullptr);
+    }
+};
+
+LibeventHttpServer::LibeventHttpServer(LibeventLoop &loop) : state(std::make_unique<State>())
+{
+    this->state->base = loop.base();
+}
+
+LibeventHttpServer::~LibeventHttpServer()
+{
+    this->stop();
+}
+
+bool LibeventHttpServer::start(const Endpoint &local, Handler handler)
+{
+    this->stop();
+    this->state->handler = std::move(handler);
+    this->state->server = evhttp_new(this->state->base);
+    evhttp_set_timeout(this->state->server, kIdleSeconds);
+    evhttp_set_max_body_size(this->state->server, kMaxBodyBytes);
+    evhttp_set_max_headers_size(this->state->server, kMaxHeaderBytes);
+    evhttp_set_gencb(this->state->server, State::onRequest, this->state.get());
+    if (evhttp_bind_socket(this->state->server, addressText(local.address).c_str(), local.port)
+        == 0) {
+        return true;
+    }
+    this->state->reason = {ResultCode::SocketFailed,
+                           "tcp " + endpointText(local) + ": " + std::strerror(errno)};
+    this->stop();
+    return false;
+}
+
+void LibeventHttpServer::stop()
+{
+    if (this->state->server != nullptr) {
+        evhttp_free(this->state->server);
+        this->state->server = nullptr;
+    }
+}
+
+Reason LibeventHttpServer::lastReason() const
+{
+    return this->state->reason;
+}
+}
--- /dev/null
+++ b/src/framework/net/libeventhttpconnection.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "net/ihttpconnection.h"
+#include "net/types/endpoint.h"
+
+#include <memory>
+
+namespace radishladder::net {
+class LibeventLoop;
+
+//! HTTP/1.1 client connection on libevent; detects a silent peer by keep-alive probes.
+class LibeventHttpConnection : public IHttpConnection
+{
+public:
+    LibeventHttpConnection(LibeventLoop &loop, const Endpoint &server);
+    ~LibeventHttpConnection() override;
+
+    void send(const HttpRequest &request, Handler handler) override;
+
+private:
+    struct State;
+    std::unique_ptr<State> state;
+};
+}
--- a/src/framework/net/asioeventloop.h
+++ b/src/framework/net/libeventloop.h
@@ -4,23 +4,28 @@
 
 #include <memory>
 
+struct event_base;
+
 namespace radishladder::net {
 
-//! Event loop on Asio.
-class AsioEventLoop : public IEventLoop
+//! Event loop on libevent.
+class LibeventLoop : public IEventLoop
 {
 public:
-    AsioEventLoop();
-    ~AsioEventLoop() override;
+    LibeventLoop();
+    ~LibeventLoop() override;
 
-    void post(std::function<void()> task) override;
     void every(std::chrono::milliseconds period, std::function<void()> task) override;
     void after(std::chrono::milliseconds delay, std::function<void()> task) override;
     void watchReadable(int descriptor, std::function<void()> task) override;
     void unwatch(int descriptor) override;
+    void watchSignal(int signal, std::function<void()> task) override;
     void run() override;
     void stop() override;
 
+    //! For the HTTP client and server, which run on the same loop.
+    event_base *base() const;
+
 private:
     struct State;
     std::unique_ptr<State> state;
--- a/src/framework/net/types/httpanswer.h
+++ b/src/framework/net/types/httpanswer.h
@@ -1,16 +1,14 @@
 #pragma once
 
-#include "net/types/httpheaders.h"
-
 #include <string>
 
 namespace radishladder::net {
 
-//! A whole HTTP answer.
+//! What a server answers.
 struct HttpAnswer
 {
     int status = 200;
-    HttpHeaders headers;
+    std::string contentType = "application/json";
     std::string body;
 };
 }
--- a/src/framework/net/types/httprequest.h
+++ b/src/framework/net/types/httprequest.h
@@ -1,20 +1,32 @@
 #pragma once
 
-#include "net/types/endpoint.h"
-#include "net/types/httpheaders.h"
-
+#include <chrono>
+#include <cstdint>
 #include <string>
 
 namespace radishladder::net {
 
-//! A whole HTTP request as a server received it.
+//! Methods that the client sends and the server tells apart.
+enum class HttpMethod : std::uint8_t {
+    Get,
+    Post,
+    Delete,
+};
+
+//! One request; on the server's side the timeout says nothing.
 struct HttpRequest
 {
-    std::string method;
+    HttpMethod method = HttpMethod::Get;
+
+    //! Path without the query.
     std::string path;
+
+    //! Text behind the question mark, already percent-encoded.
     std::string query;
-    HttpHeaders headers;
+
     std::string body;
-    Endpoint from;
+
+    //! The request fails if its answer is not complete by then.
+    std::chrono::milliseconds timeout{2000};
 };
 }
--- a/src/framework/net/types/httpresult.h
+++ b/src/framework/net/types/httpresult.h
@@ -1,18 +1,19 @@
 #pragma once
 
 #include "global/reason.h"
-#include "net/types/httpanswer.h"
+
+#include <string>
 
 namespace radishladder::net {
 
-//! What became of an HttpCall.
+//! Outcome of one request of the client: an answer, or the reason why there is none.
 struct HttpResult
 {
-    //! Ok only if the whole answer arrived and its length was right.
-    Reason reason;
-    HttpAnswer answer;
+    //! HTTP status; 0 if no answer came, in which case the request may or may not have run.
+    int status = 0;
 
-    //! False only if no byte of the request can have left this process.
-    bool anythingSent = false;
+    std::string body;
+
+    Reason reason;
 };
 }
--- a/src/framework/supervision/internal/supervisor.cpp
+++ b/src/framework/supervision/internal/supervisor.cpp
@@ -1,7 +1,8 @@
 #include "supervision/supervisor.h"
 
 #include "global/iclock.h"
-#include "telemetry/itimeline.h"
+#include "telemetry/ieventlog.h"
+#include "telemetry/types/logentry.h"
 
 #include <algorithm>
 #include <deque>
@@ -20,8 +21,8 @@
     std::deque<std::chrono::steady_clock::time_point> failures;
 };
 
-Supervisor::Supervisor(std::string name, const IClock &clock, telemetry::ITimeLine &timeLine)
-    : ownName(std::move(name)), clock(clock), timeLine(timeLine)
+Supervisor::Supervisor(std::string name, const IClock &clock, telemetry::IEventLog &log)
+    : ownName(std::move(name)), clock(clock), log(log)
 { }
 
 Supervisor::~Supervisor() = default;
@@ -100,11 +101,13 @@
         static_cast<int>(child.failures.size()) > child.policy.restartsBeforeEscalation;
     child.restartAt = now + child.delay;
     child.delay = std::min(child.delay * 2, child.policy.longestDelay);
-    this->timeLine.record(
-        {.kind = spent ? "component.escalated" : "component.failed",
-         .subject = child.component.name(),
-         .reason = spent ? ResultCode::ComponentEscalated : ResultCode::ComponentFailed,
-         .detail = failure.detail});
+    this->log.write(telemetry::LogEntry(telemetry::LogKind::State,
+                                        spent ? "component.escalated" : "component.failed")
+                        .text("component", child.component.name())
+                        .text("code",
+                              resultCodeName(spent ? ResultCode::ComponentEscalated
+                                                   : ResultCode::ComponentFailed))
+                        .text("detail", failure.detail));
     if (spent) {
         this->escalated = true;
         this->reason = {ResultCode::ComponentEscalated,
@@ -122,6 +125,7 @@
         return;
     }
     child.running = true;
-    this->timeLine.record({.kind = "component.restarted", .subject = child.component.name()});
+    this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "component.restarted")
+                        .text("component", child.component.name()));
 }
 }
--- a/src/framework/supervision/supervisor.h
+++ b/src/framework/supervision/supervisor.h
@@ -10,7 +10,7 @@
 class IClock;
 }
 namespace radishladder::telemetry {
-class ITimeLine;
+class IEventLog;
 }
 
 namespace radishladder::supervision {
@@ -20,7 +20,7 @@
 class Supervisor : public IComponent
 {
 public:
-    Supervisor(std::string name, const IClock &clock, telemetry::ITimeLine &timeLine);
+    Supervisor(std::string name, const IClock &clock, telemetry::IEventLog &log);
     ~Supervisor() override;
 
     //! Adds \a component, started after all added before it.
@@ -43,7 +43,7 @@
 
     std::string ownName;
     const IClock &clock;
-    telemetry::ITimeLine &timeLine;
+    telemetry::IEventLog &log;
     std::vector<std::unique_ptr<Child>> children;
     bool escalated = false;
     Reason reason;
--- /dev/null
+++ b/src/framework/telemetry/internal/boundedeventlog.cpp
@@ -0,0 +1,73 @@
+#include "telemetry/boundedeventlog.h"
+
+#include "global/iclock.h"
+#include "telemetry/ilogsink.h"
+#include "telemetry/types/logentry.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace radishladder::telemetry {
+namespace {
+constexpr std::chrono::seconds kBudgetPeriod{1};
+}
+
+BoundedEventLog::BoundedEventLog(const IClock &clock, ILogSink &sink, int flowLinesPerSecond,
+                                 std::size_t bufferBytes)
+    : clock(clock), sink(sink), flowLinesPerSecond(flowLinesPerSecond), bufferBytes(bufferBytes),
+      budget(flowLinesPerSecond), budgetSince(clock.now())
+{ }
+
+bool BoundedEventLog::accepts(LogKind kind)
+{
+    this->renewBudget();
+    if (this->buffer.size() < this->bufferBytes && (kind == LogKind::State || this->budget > 0)) {
+        return true;
+    }
+    ++this->unreported;
+    ++this->totalLeftOut;
+    return false;
+}
+
+void BoundedEventLog::write(const LogEntry &entry)
+{
+    if (!this->accepts(entry.kind())) {
+        return;
+    }
+    if (entry.kind() == LogKind::Flow) {
+        --this->budget;
+    }
+    this->append(entry);
+}
+
+void BoundedEventLog::flush()
+{
+    if (this->unreported > 0 && this->buffer.size() < this->bufferBytes) {
+        LogEntry summary(LogKind::State, "log.leftout");
+        summary.number("lines", static_cast<std::int64_t>(this->unreported));
+        this->unreported = 0;
+        this->append(summary);
+    }
+    if (!this->buffer.empty()) {
+        this->buffer.erase(0, this->sink.tryWrite(this->buffer));
+    }
+}
+
+void BoundedEventLog::renewBudget()
+{
+    const auto now = this->clock.now();
+    if (now - this->budgetSince >= kBudgetPeriod) {
+        this->budgetSince = now;
+        this->budget = this->flowLinesPerSecond;
+    }
+}
+
+void BoundedEventLog::append(const LogEntry &entry)
+{
+    const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->clock.wallNow().time_since_epoch());
+    const auto steady =
+        std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now().time_since_epoch());
+    absl::StrAppend(&this->buffer, "{\"time_ms\":", wall.count(), ",\"steady_ms\":", steady.count(),
+                    entry.fields(), "}\n");
+}
+}
--- /dev/null
+++ b/src/membership/internal/leasemembership.cpp
@@ -0,0 +1,209 @@
+#include "membership/leasemembership.h"
+
+#include "global/iclock.h"
+#include "net/ieventloop.h"
+#include "store/istore.h"
+#include "store/types/storeitem.h"
+#include "store/types/storelease.h"
+#include "store/types/storewrite.h"
+#include "telemetry/ieventlog.h"
+#include "telemetry/types/logentry.h"
+
+#include <set>
+
+namespace radishladder::membership {
+namespace {
+constexpr const char *kPrefix = "vms/";
+constexpr std::chrono::milliseconds kLeaseTime{12000};
+constexpr std::chrono::milliseconds kRenewEvery{4000};
+constexpr std::chrono::milliseconds kRetryAfter{1500};
+
+//! Covers the time in which a VM with a lapsed lease takes a new one.
+constexpr std::chrono::milliseconds kLeaveGrace{6000};
+
+//! "vms/DATA CENTRE/VM".
+std::string keyOf(const DataCentreName &dataCentre, const VmName &vm)
+{
+    return kPrefix + dataCentre.str() + "/" + vm.str();
+}
+}
+
+LeaseMembership::LeaseMembership(store::IStore &store, net::IEventLoop &loop, const IClock &clock,
+                                 telemetry::IEventLog &log, VmName self, DataCentreName dataCentre)
+    : store(store), loop(loop), clock(clock), log(log), self(std::move(self)),
+      dataCentre(std::move(dataCentre))
+{ }
+
+std::string LeaseMembership::prefix()
+{
+    return kPrefix;
+}
+
+void LeaseMembership::join()
+{
+    this->acquire();
+}
+
+void LeaseMembership::leave()
+{
+    this->leaving = true;
+    if (this->lease == 0) {
+        return;
+    }
+    this->store.endLease(this->lease, [this](store::StoreStatus status, const std::string &detail) {
+        if (status != store::StoreStatus::Ok) {
+            this->log.write(
+                telemetry::LogEntry(telemetry::LogKind::State, "membership.leave_failed")
+                    .text("detail", detail));
+        }
+    });
+}
+
+std::vector<VmName> LeaseMembership::members(const DataCentreName &wanted) const
+{
+    std::set<VmName> names;
+    for (const auto &[name, member] : this->known) {
+        if (member.dataCentre == wanted && this->counts(member)) {
+            names.insert(name);
+        }
+    }
+    if (wanted == this->dataCentre) {
+        names.insert(this->self);
+    }
+    return {names.begin(), names.end()};
+}
+
+std::vector<VmName> LeaseMembership::allMembers() const
+{
+    std::set<VmName> names{this->self};
+    for (const auto &[name, member] : this->known) {
+        if (this->counts(member)) {
+            names.insert(name);
+        }
+    }
+    return {names.begin(), names.end()};
+}
+
+bool LeaseMembership::counts(const Member &member) const
+{
+    return member.leftAt == std::chrono::steady_clock::time_point::max()
+        || this->clock.now() - member.leftAt < kLeaveGrace;
+}
+
+void LeaseMembership::onSnapshot(const std::vector<store::StoreItem> &items)
+{
+    const auto now = this->clock.now();
+    for (auto &[name, member] : this->known) {
+        member.leftAt = std::min(member.leftAt, now);
+    }
+    this->onChanges(items);
+}
+
+void LeaseMembership::onChanges(const std::vector<store::StoreItem> &items)
+{
+    for (const store::StoreItem &item : items) {
+        this->note(item);
+    }
+    std::erase_if(this->known, [this](const auto &entry) { return !this->counts(entry.second); });
+}
+
+void LeaseMembership::note(const store::StoreItem &item)
+{
+    const std::string::size_type slash = item.key.rfind('/');
+    const std::size_t prefixSize = std::string(kPrefix).size();
+    if (slash == std::string::npos || slash < prefixSize) {
+        this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "membership.key_malformed")
+                            .text("key", item.key));
+        return;
+    }
+    const VmName name(item.key.substr(slash + 1));
+    Member &member = this->known[name];
+    member.dataCentre = DataCentreName(item.key.substr(prefixSize, slash - prefixSize));
+    member.leftAt =
+        item.isRemoval ? this->clock.now() : std::chrono::steady_clock::time_point::max();
+    this->log.write(telemetry::LogEntry(telemetry::LogKind::State,
+                                        item.isRemoval ? "member.left" : "member.joined")
+                        .text("vm", name.str())
+                        .number("revision", static_cast<std::int64_t>(item.revision)));
+    if (item.isRemoval && name == this->self && !this->leaving) {
+        this->acquire();
+    }
+}
+
+void LeaseMembership::onContactLost(const std::string &) { }
+
+void LeaseMembership::onContactRegained() { }
+
+void LeaseMembership::acquire()
+{
+    if (this->acquiring || this->leaving) {
+        return;
+    }
+    this->acquiring = true;
+    this->lease = 0;
+    this->store.grantLease(kLeaseTime, [this](const store::StoreLease &granted) {
+        this->acquiring = false;
+        if (granted.status != store::StoreStatus::Ok) {
+            this->retry(&LeaseMembership::acquire, granted.detail);
+            return;
+        }
+        this->lease = granted.id;
+        this->publish();
+    });
+}
+
+void LeaseMembership::publish()
+{
+    if (this->leaving) {
+        return;
+    }
+    const store::StoreWrite own{
+        .key = keyOf(this->dataCentre, this->self), .value = "{}", .lease = this->lease};
+    this->store.write(own, [this](store::StoreStatus status, const std::string &detail) {
+        if (status == store::StoreStatus::Missing) {
+            this->acquire();
+        } else if (status != store::StoreStatus::Ok) {
+            this->retry(&LeaseMembership::publish, detail);
+        } else {
+            this->keepLater();
+        }
+    });
+}
+
+void LeaseMembership::keep()
+{
+    if (this->leaving) {
+        return;
+    }
+    this->store.renewLease(this->lease, [this](const store::StoreLease &renewed) {
+        if (renewed.status == store::StoreStatus::Missing) {
+            this->acquire();
+        } else if (renewed.status != store::StoreStatus::Ok) {
+            this->retry(&LeaseMembership::keep, renewed.detail);
+        } else {
+            this->keepLater();
+        }
+    });
+}
+
+void LeaseMembership::retry(void (LeaseMembership::*step)(), const std::string &detail)
+{
+    this->log.write(
+        telemetry::LogEntry(telemetry::LogKind::State, "membership.retry").text("detail", detail));
+    this->loop.after(kRetryAfter, [this, step, held = this->lease]() {
+        if (held == this->lease) {
+            (this->*step)();
+        }
+    });
+}
+
+void LeaseMembership::keepLater()
+{
+    // A timer of a lease that has been replaced meanwhile must not start a second renewal loop.
+    this->loop.after(kRenewEvery, [this, held = this->lease]() {
+        if (held == this->lease) {
+            this->keep();
+        }
+    });
+}
+}
--- /dev/null
+++ b/src/routing/internal/routetable.cpp
@@ -0,0 +1,74 @@
+#include "routing/routetable.h"
+
+#include "routing/types/configuration.h"
+
+namespace radishladder::routing {
+bool RouteTable::apply(Configuration configuration)
+{
+    if (configuration.version <= this->currentVersion) {
+        return false;
+    }
+    for (const auto &[address, route] : this->routes) {
+        this->removed.insert(address);
+    }
+    this->routes.clear();
+    this->routes.reserve(configuration.routes.size());
+    for (Route &route : configuration.routes) {
+        const net::Endpoint address = route.address;
+        this->removed.erase(address);
+        this->routes.insert_or_assign(address, std::move(route));
+    }
+    this->services = std::move(configuration.services);
+    this->idle = configuration.idleTimeout;
+    this->currentVersion = configuration.version;
+    return true;
+}
+
+const Route *RouteTable::find(const net::Endpoint &address) const
+{
+    const auto route = this->routes.find(address);
+    return route == this->routes.end() ? nullptr : &route->second;
+}
+
+bool RouteTable::wasRemoved(const net::Endpoint &address) const
+{
+    return this->removed.contains(address);
+}
+
+ServiceLimits RouteTable::limits(const ServiceName &service) const
+{
+    const auto limits = this->services.find(service);
+    return limits == this->services.end() ? ServiceLimits() : limits->second;
+}
+
+bool RouteTable::evacuate(const DataCentreName &dataCentre, TimePoint now)
+{
+    return this->out.emplace(dataCentre, now).second;
+}
+
+bool RouteTable::takeBack(const DataCentreName &dataCentre)
+{
+    return this->out.erase(dataCentre) > 0;
+}
+
+bool RouteTable::isEvacuated(const DataCentreName &dataCentre) const
+{
+    return this->out.contains(dataCentre);
+}
+
+bool RouteTable::isEvacuatedFor(const DataCentreName &dataCentre, std::chrono::milliseconds grace,
+                                TimePoint now) const
+{
+    const auto since = this->out.find(dataCentre);
+    return since != this->out.end() && now - since->second >= grace;
+}
+
+std::vector<DataCentreName> RouteTable::evacuated() const
+{
+    std::vector<DataCentreName> names;
+    for (const auto &[name, since] : this->out) {
+        names.push_back(name);
+    }
+    return names;
+}
+}
--- /dev/null
+++ b/src/routing/tests/routetabletest.cpp
@@ -0,0 +1,74 @@
+#include "routing/routetable.h"
+
+#include "routing/types/configuration.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace radishladder;
+using namespace radishladder::routing;
+using namespace std::chrono_literals;
+
+namespace {
+net::Endpoint address(std::uint16_t port)
+{
+    return {0x0a000001, port};
+}
+
+Configuration configuration(std::uint64_t version, std::initializer_list<std::uint16_t> ports)
+{
+    Configuration configuration{.version = version};
+    for (const std::uint16_t port : ports) {
+        configuration.routes.push_back(
+            {.address = address(port), .services = {{ServiceName("portal"), 1}}});
+    }
+    return configuration;
+}
+}
+
+Test(routetable, versions_never_go_back)
+{
+    RouteTable table;
+    cr_assert_not(table.isLoaded());
+    cr_assert(table.apply(configuration(7, {80, 81})));
+    cr_assert_not(table.apply(configuration(7, {82})));
+    cr_assert_not(table.apply(configuration(3, {82})));
+    cr_assert_not_null(table.find(address(80)));
+    cr_assert_null(table.find(address(82)));
+    rc::check([](const std::vector<std::uint16_t> &versions) {
+        RouteTable any;
+        std::uint64_t newest = 0;
+        for (const std::uint16_t version : versions) {
+            any.apply(configuration(version, {80}));
+            newest = std::max<std::uint64_t>(newest, version);
+            RC_ASSERT(any.version() == newest);
+        }
+    });
+}
+
+Test(routetable, a_route_counts_as_removed_until_it_returns)
+{
+    RouteTable table;
+    table.apply(configuration(1, {80, 81}));
+    table.apply(configuration(2, {80}));
+    cr_assert(table.wasRemoved(address(81)));
+    cr_assert_not(table.wasRemoved(address(80)));
+    cr_assert_not(table.wasRemoved(address(99)));
+    table.apply(configuration(3, {81}));
+    cr_assert_not(table.wasRemoved(address(81)));
+    cr_assert(table.wasRemoved(address(80)));
+}
+
+Test(routetable, evacuation_takes_effect_at_once_and_its_grace_ends)
+{
+    RouteTable table;
+    const DataCentreName obuda("obuda");
+    const RouteTable::TimePoint start{1h};
+    cr_assert(table.evacuate(obuda, start));
+    cr_assert_not(table.evacuate(obuda, start + 2s));
+    cr_assert(table.isEvacuated(obuda));
+    cr_assert_not(table.isEvacuatedFor(obuda, 3s, start + 2999ms));
+    cr_assert(table.isEvacuatedFor(obuda, 3s, start + 3s));
+    cr_assert(table.takeBack(obuda));
+    cr_assert_not(table.isEvacuated(obuda));
+}
--- a/src/settings/fieldreader.h
+++ b/src/settings/fieldreader.h
@@ -24,6 +24,7 @@
     std::int64_t integer(const std::string &field, std::int64_t least, std::int64_t most);
     std::int64_t integerOr(const std::string &field, std::int64_t least, std::int64_t most,
                            std::int64_t fallback);
+    double numberOr(const std::string &field, double least, double most, double fallback);
     bool booleanOr(const std::string &field, bool fallback);
     std::uint32_t address(const std::string &field);
     net::Endpoint endpoint(const std::string &field);
@@ -31,6 +32,9 @@
     //! Array of \a field; empty if absent and not \a required.
     const Json::Value &array(const std::string &field, bool required);
 
+    //! Counts \a field as asked for; another reader reads it.
+    void ignore(const std::string &field) { this->known.insert(field); }
+
     //! Fails on every field that was not asked for.
     void rejectUnknownFields();
 
--- a/src/settings/internal/fieldreader.cpp
+++ b/src/settings/internal/fieldreader.cpp
@@ -60,6 +60,25 @@
     return this->find(field, false) == nullptr ? fallback : this->integer(field, least, most);
 }
 
+double FieldReader::numberOr(const std::string &field, double least, double most, double fallback)
+{
+    const Json::Value *value = this->find(field, false);
+    if (value == nullptr) {
+        return fallback;
+    }
+    if (!value->isNumeric() || value->isBool()) {
+        this->fail(ResultCode::FieldType, field, "is not a number");
+        return fallback;
+    }
+    const double number = value->asDouble();
+    if (!(number >= least && number <= most)) {
+        this->fail(ResultCode::FieldRange, field,
+                   "is not between " + std::to_string(least) + " and " + std::to_string(most));
+        return fallback;
+    }
+    return number;
+}
+
 bool FieldReader::booleanOr(const std::string &field, bool fallback)
 {
     const Json::Value *value = this->find(field, false);
--- a/src/settings/types/vmsettings.h
+++ b/src/settings/types/vmsettings.h
@@ -2,49 +2,56 @@
 
 #include "global/name.h"
 #include "net/types/endpoint.h"
-#include "settings/types/flowmechanism.h"
-#include "settings/types/requestmechanism.h"
 
-#include <string>
-#include <vector>
+#include <chrono>
 
 namespace radishladder::settings {
 
-//! Settings of one VM: who it is, where it listens, whom it talks to.
+//! Settings of one VM: who it is, where it listens, what binds it.
 struct VmSettings
 {
     VmName name;
     DataCentreName dataCentre;
 
-    //! Receives packets from the fabric; the next two ports receive packets relayed by other VMs.
-    net::Endpoint data;
+    //! Receives the packets of callers; callers receive resets at this port.
+    net::Endpoint packets;
 
-    //! Exchanges datagrams with the other VMs.
-    net::Endpoint peer;
+    //! Answers whether this VM takes flows.
+    net::Endpoint readiness;
 
-    //! Receives requests of callers.
-    net::Endpoint requests;
+    //! Metrics and operators' questions.
+    net::Endpoint operations;
 
-    //! Health, metrics and operators' calls.
-    net::Endpoint admin;
+    //! The platform's store.
+    net::Endpoint store;
 
-    //! Gateways of the platform's key-value service.
-    std::vector<net::Endpoint> platform;
+    //! Longest time until a draining upstream gets no new flows.
+    std::chrono::milliseconds drain{3000};
 
-    //! Keys for datagrams between VMs, 64 hexadecimal digits each; the first signs, all are
-    //! accepted.
-    std::vector<std::string> peerKeys;
+    //! Longest time until a configuration is in force.
+    std::chrono::milliseconds configuration{3000};
 
-    //! Required for calls that change something.
-    std::string adminToken;
+    //! Longest time until a data centre that is taken out gets no packets.
+    std::chrono::milliseconds evacuation{5000};
 
-    //! Calls that only read need no token.
-    bool openReads = true;
+    //! Oldest flow that still counts.
+    std::chrono::seconds flowMax{60};
 
-    //! How flows are placed; all but epochs are baselines for measurements.
-    FlowMechanism flowMechanism = FlowMechanism::Epochs;
+    //! A planned stop is cut short after this time.
+    std::chrono::seconds stop{6};
 
-    //! How requests are spread; all but shared are baselines for measurements.
-    RequestMechanism requestMechanism = RequestMechanism::Shared;
+    //! New flows that may reach a cold upstream each second: what it bears times the overage, plus
+    //! the slack.
+    double warmupOverage = 1.5;
+    int warmupSlack = 5;
+
+    //! Memory that the process may use, in megabytes.
+    int memoryMb = 256;
+
+    //! Off while operators want nothing to change unless a person changes it.
+    bool automaticActions = true;
+
+    //! Lines a second that decisions on flows may take in the log.
+    int flowLogLines = 40;
 };
 }
--- /dev/null
+++ b/src/store/internal/prefixfollower.cpp
@@ -0,0 +1,125 @@
+#include "store/prefixfollower.h"
+
+#include "net/ieventloop.h"
+#include "store/iprefixlistener.h"
+#include "store/istore.h"
+#include "store/types/storelisting.h"
+
+#include <algorithm>
+
+namespace radishladder::store {
+PrefixFollower::PrefixFollower(IStore &store, net::IEventLoop &loop, IPrefixListener &listener,
+                               std::string prefix, const FollowerPacing &pacing)
+    : store(store), loop(loop), listener(listener), prefix(std::move(prefix)), pacing(pacing),
+      retryDelay(pacing.firstRetry)
+{ }
+
+PrefixFollower::~PrefixFollower() = default;
+
+void PrefixFollower::start()
+{
+    this->restart();
+}
+
+void PrefixFollower::restart()
+{
+    this->pages.clear();
+    this->listFrom("");
+}
+
+void PrefixFollower::listFrom(const std::string &afterKey)
+{
+    this->store.list(this->prefix, afterKey,
+                     [this, guard = std::weak_ptr<int>(this->alive)](const StoreListing &page) {
+                         if (!guard.expired()) {
+                             this->onPage(page);
+                         }
+                     });
+}
+
+void PrefixFollower::onPage(const StoreListing &page)
+{
+    if (page.status != StoreStatus::Ok) {
+        this->noteFailure(page);
+        this->schedule(this->retryDelay, &PrefixFollower::restart);
+        return;
+    }
+    this->noteSuccess();
+    // Pages are no snapshot: the watch starts at the first page's revision and repeats what the
+    // later pages already show.
+    if (this->pages.empty()) {
+        this->firstPageRevision = page.revision;
+    }
+    this->pages.insert(this->pages.end(), page.items.begin(), page.items.end());
+    if (page.hasMore && !page.items.empty()) {
+        this->listFrom(page.items.back().key);
+        return;
+    }
+    const std::vector<StoreItem> items = std::move(this->pages);
+    this->pages.clear();
+    this->seenRevision = this->firstPageRevision;
+    this->synchronized = true;
+    this->listener.onSnapshot(items);
+    this->schedule(this->pacing.gather, &PrefixFollower::watch);
+}
+
+void PrefixFollower::watch()
+{
+    this->store.watch(this->prefix, this->seenRevision, this->pacing.watchWait,
+                      [this, guard = std::weak_ptr<int>(this->alive)](const StoreListing &changes) {
+                          if (!guard.expired()) {
+                              this->onWatched(changes);
+                          }
+                      });
+}
+
+void PrefixFollower::onWatched(const StoreListing &changes)
+{
+    if (changes.status == StoreStatus::Compacted) {
+        this->noteSuccess();
+        this->restart();
+        return;
+    }
+    if (changes.status != StoreStatus::Ok) {
+        this->noteFailure(changes);
+        this->schedule(this->retryDelay, &PrefixFollower::watch);
+        return;
+    }
+    this->noteSuccess();
+    this->seenRevision = std::max(this->seenRevision, changes.revision);
+    if (changes.items.empty()) {
+        this->watch();
+        return;
+    }
+    this->listener.onChanges(changes.items);
+    this->schedule(this->pacing.gather, &PrefixFollower::watch);
+}
+
+void PrefixFollower::noteSuccess()
+{
+    this->retryDelay = this->pacing.firstRetry;
+    if (!this->contact) {
+        this->contact = true;
+        this->listener.onContactRegained();
+    }
+}
+
+void PrefixFollower::noteFailure(const StoreListing &answer)
+{
+    if (this->contact) {
+        this->contact = false;
+        this->listener.onContactLost(answer.detail);
+    } else {
+        this->retryDelay = std::min(this->retryDelay * 2, this->pacing.longestRetry);
+    }
+}
+
+void PrefixFollower::schedule(std::chrono::milliseconds delay, void (PrefixFollower::*step)())
+{
+    this->loop.after(delay, [this, step, guard = std::weak_ptr<int>(this->alive)]() {
+        if (!guard.expired()) {
+            (this->*step)();
+        }
+    });
+}
+}
--- /dev/null
+++ b/src/store/istore.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace radishladder::store {
+enum class StoreStatus : std::uint8_t;
+struct StoreLease;
+struct StoreListing;
+struct StoreWrite;
+
+//! The platform's key-value store; every handler is called exactly once, on the event loop.
+class IStore
+{
+public:
+    using ListingHandler = std::function<void(const StoreListing &)>;
+    using LeaseHandler = std::function<void(const StoreLease &)>;
+    using StatusHandler = std::function<void(StoreStatus status, const std::string &detail)>;
+
+    virtual ~IStore() = default;
+
+    //! One page of the items under \a prefix, from behind \a afterKey on; linearizable.
+    virtual void list(const std::string &prefix, const std::string &afterKey,
+                      ListingHandler handler) = 0;
+
+    //! Waits up to \a wait for changes under \a prefix after \a revision. One watch a prefix.
+    virtual void watch(const std::string &prefix, std::uint64_t revision,
+                       std::chrono::milliseconds wait, ListingHandler handler) = 0;
+
+    virtual void grantLease(std::chrono::milliseconds timeToLive, LeaseHandler handler) = 0;
+    virtual void renewLease(std::uint64_t lease, LeaseHandler handler) = 0;
+    virtual void endLease(std::uint64_t lease, StatusHandler handler) = 0;
+    virtual void write(const StoreWrite &write, StatusHandler handler) = 0;
+};
+}
--- /dev/null
+++ b/src/store/prefixfollower.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "store/types/followerpacing.h"
+#include "store/types/storeitem.h"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace radishladder::net {
+class IEventLoop;
+}
+
+namespace radishladder::store {
+class IPrefixListener;
+class IStore;
+struct StoreListing;
+
+//! Keeps a listener up to date with one prefix: lists it once, then watches, and lists again when
+//! the history that it needs is gone.
+class PrefixFollower
+{
+public:
+    PrefixFollower(IStore &store, net::IEventLoop &loop, IPrefixListener &listener,
+                   std::string prefix, const FollowerPacing &pacing);
+    ~PrefixFollower();
+
+    void start();
+
+    //! False before the first snapshot.
+    bool isSynchronized() const { return this->synchronized; }
+    bool hasContact() const { return this->contact; }
+    std::uint64_t revision() const { return this->seenRevision; }
+
+private:
+    void listFrom(const std::string &afterKey);
+    void onPage(const StoreListing &page);
+    void watch();
+    void onWatched(const StoreListing &changes);
+    void noteSuccess();
+    void noteFailure(const StoreListing &answer);
+    void schedule(std::chrono::milliseconds delay, void (PrefixFollower::*step)());
+    void restart();
+
+    IStore &store;
+    net::IEventLoop &loop;
+    IPrefixListener &listener;
+    std::string prefix;
+    FollowerPacing pacing;
+    std::uint64_t seenRevision = 0;
+    bool synchronized = false;
+    bool contact = true;
+    std::chrono::milliseconds retryDelay;
+    std::vector<StoreItem> pages;
+    std::uint64_t firstPageRevision = 0;
+
+    //! Expires with this object, so that late answers and timers find out.
+    std::shared_ptr<int> alive = std::make_shared<int>(0);
+};
+}
--- /dev/null
+++ b/src/store/tests/prefixfollowertest.cpp
@@ -0,0 +1,127 @@
+#include "store/prefixfollower.h"
+
+#include "net/manualeventloop.h"
+#include "standins/memorystore.h"
+#include "store/iprefixlistener.h"
+
+#include <criterion/criterion.h>
+#include <map>
+
+using namespace radishladder;
+using namespace radishladder::store;
+using namespace std::chrono_literals;
+using standins::MemoryStore;
+
+namespace {
+class FakeListener : public IPrefixListener
+{
+public:
+    void onSnapshot(const std::vector<StoreItem> &items) override
+    {
+        ++this->snapshots;
+        this->values.clear();
+        this->onChanges(items);
+    }
+    void onChanges(const std::vector<StoreItem> &items) override
+    {
+        for (const StoreItem &item : items) {
+            if (item.isRemoval) {
+                this->values.erase(item.key);
+            } else {
+                this->values[item.key] = item.value;
+            }
+        }
+    }
+    void onContactLost(const std::string &) override { ++this->lost; }
+    void onContactRegained() override { ++this->regained; }
+
+    std::map<std::string, std::string> values;
+    int snapshots = 0;
+    int lost = 0;
+    int regained = 0;
+};
+
+struct Fixture
+{
+    ManualClock clock;
+    net::ManualEventLoop loop{this->clock};
+    MemoryStore store{this->loop};
+    FakeListener listener;
+    PrefixFollower follower{this->store, this->loop, this->listener, "up/", FollowerPacing{}};
+
+    void start()
+    {
+        this->store.put("up/a", "1");
+        this->follower.start();
+        this->loop.advance(500ms);
+    }
+};
+}
+
+Test(prefixfollower, a_snapshot_of_many_pages_and_changes_arrive)
+{
+    Fixture f;
+    f.store.setPageSize(7);
+    for (int i = 0; i < 30; ++i) {
+        f.store.put("up/k" + std::to_string(i), "v");
+    }
+    f.store.put("other/x", "v");
+    f.start();
+    cr_assert(f.follower.isSynchronized());
+    cr_assert_eq(f.listener.values.size(), 31U);
+    f.store.put("up/a", "2");
+    f.store.remove("up/k3");
+    f.loop.advance(400ms);
+    cr_assert(f.listener.values["up/a"] == "2");
+    cr_assert_not(f.listener.values.contains("up/k3"));
+}
+
+Test(prefixfollower, changes_in_quick_succession_cost_few_calls)
+{
+    Fixture f;
+    f.start();
+    const std::uint64_t before = f.store.calls();
+    for (int i = 0; i < 300; ++i) {
+        f.store.put("up/a", std::to_string(i));
+        f.loop.advance(10ms);
+    }
+    f.loop.advance(1s);
+    cr_assert(f.listener.values["up/a"] == "299");
+    cr_assert_leq(f.store.calls() - before, 13U);
+}
+
+Test(prefixfollower, every_trouble_ends_with_the_newest_values)
+{
+    struct Row
+    {
+        const char *name;
+        void (*trouble)(MemoryStore &);
+        void (*recovery)(MemoryStore &);
+        std::chrono::milliseconds until;
+    };
+    const auto none = [](MemoryStore &) {};
+    const auto serve = [](MemoryStore &s) { s.setMode(MemoryStore::Mode::Serving); };
+    const Row rows[] = {
+        {"refusing", [](MemoryStore &s) { s.setMode(MemoryStore::Mode::Refusing); }, serve, 1200ms},
+        {"history dropped", [](MemoryStore &s) { s.compact(); }, none, 1200ms},
+        {"refusing and history dropped",
+         [](MemoryStore &s) {
+             s.setMode(MemoryStore::Mode::Refusing);
+             s.compact();
+         },
+         serve, 1600ms},
+    };
+    for (const Row &row : rows) {
+        Fixture f;
+        f.start();
+        row.trouble(f.store);
+        f.store.put("up/a", "during");
+        f.store.put("up/b", "new");
+        f.loop.advance(5s);
+        row.recovery(f.store);
+        f.loop.advance(row.until);
+        cr_assert(f.listener.values["up/a"] == "during", "%s", row.name);
+        cr_assert(f.listener.values["up/b"] == "new", "%s", row.name);
+        cr_assert_eq(f.listener.lost, f.listener.regained, "%s", row.name);
+    }
+}
--- /dev/null
+++ b/src/store/types/followerpacing.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <chrono>
+
+namespace radishladder::store {
+
+//! How often a follower calls the store.
+struct FollowerPacing
+{
+    //! Longest time that one watch waits for a change.
+    std::chrono::milliseconds watchWait{20000};
+
+    //! Pause after an answer, so that changes in quick succession arrive with one call.
+    std::chrono::milliseconds gather{300};
+
+    //! Pause after the first failed call; doubles up to longestRetry.
+    std::chrono::milliseconds firstRetry{100};
+    std::chrono::milliseconds longestRetry{800};
+};
+}
--- /dev/null
+++ b/src/store/types/storelisting.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "store/types/storeitem.h"
+#include "store/types/storestatus.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace radishladder::store {
+
+//! Items of a prefix, or what changed under it.
+struct StoreListing
+{
+    StoreStatus status = StoreStatus::Unknown;
+    std::vector<StoreItem> items;
+
+    //! Revision of the store that the answer shows; a watch continues from here.
+    std::uint64_t revision = 0;
+
+    //! More items follow behind the last one.
+    bool hasMore = false;
+
+    //! Why there is no listing.
+    std::string detail;
+};
+}
--- a/tools/checks/includes.sh
+++ b/tools/checks/includes.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Checks who may include whom: nobody but a module itself and its tests includes its internal/ folder, the framework
-# includes no module, and only app and tools put modules together.
+# includes no module, only app and tools put modules together, and only platform/ knows the platform's names.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 status=0
@@ -24,4 +24,11 @@
         fail "$file:$line: nothing includes app"
     fi
 done < <(grep -rnE '^#include "' src tools --include='*.h' --include='*.cpp')
+platform_words='kv-(key|range|watch|txn|lease|keep)|op/config|op/evacuate|warmup_left_ms"|listen_addrs|RADISHLADDER_SETTINGS'
+if grep -rnE "$platform_words" src tools --include='*.h' --include='*.cpp'; then
+    fail "the lines above name what only platform/ may know"
+fi
+if grep -rnE '^#include "platform/' src --include='*.h' --include='*.cpp' | grep -v '^src/app/'; then
+    fail "only app may include the adapter"
+fi
 exit $status
--- /dev/null
+++ b/tools/fuzz/fuzzplatform.cpp
@@ -0,0 +1,46 @@
+#include "platform/configurationdecoder.h"
+#include "platform/echopacketcodec.h"
+#include "platform/entrydecoder.h"
+#include "settings/vmsettingsreader.h"
+#include "store/types/storeitem.h"
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <span>
+#include <string>
+
+using namespace radishladder;
+
+namespace {
+//! A packet that is taken must survive being forwarded and answered.
+void fuzzPacket(std::span<const std::uint8_t> bytes)
+{
+    const platform::EchoPacketCodec codec;
+    const auto packet = codec.decode(bytes);
+    if (!packet) {
+        return;
+    }
+    std::array<std::uint8_t, 2048> out{};
+    const std::size_t size = codec.encodeForward(bytes, {1}, packet->token, out);
+    const bool isSame =
+        size == bytes.size() + 8 && std::equal(bytes.begin(), bytes.end(), out.begin() + 8);
+    if (!isSame || codec.encodeReset(*packet, out) == 0) {
+        std::abort();
+    }
+}
+}
+
+// NOLINTNEXTLINE(readability-identifier-naming): the fuzzer looks for this name.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const std::span<const std::uint8_t> rest(data, size);
+    const std::string text(rest.begin(), rest.end());
+    fuzzPacket(rest);
+    platform::EntryDecoder().decode({.key = "servers/i-1", .value = text});
+    platform::ConfigurationDecoder().decode(text);
+    settings::VmSettingsReader().parse(text, "fuzz");
+    return 0;
+}
--- /dev/null
+++ b/tools/standins/memorystore.cpp
@@ -0,0 +1,234 @@
+#include "standins/memorystore.h"
+
+#include "net/ieventloop.h"
+#include "store/types/storelease.h"
+#include "store/types/storelisting.h"
+#include "store/types/storewrite.h"
+
+#include <algorithm>
+
+namespace radishladder::standins {
+namespace {
+using store::StoreItem;
+using store::StoreListing;
+using store::StoreStatus;
+
+constexpr std::chrono::milliseconds kAnswerTime{4};
+constexpr std::chrono::milliseconds kCallTimeout{1500};
+}
+
+void MemoryStore::reply(const std::function<void(StoreStatus)> &answer)
+{
+    ++this->callCount;
+    switch (this->mode) {
+    case Mode::Serving:
+        this->loop.after(kAnswerTime, [answer]() { answer(StoreStatus::Ok); });
+        break;
+    case Mode::Refusing:
+        this->loop.after(kAnswerTime, [answer]() { answer(StoreStatus::Refused); });
+        break;
+    case Mode::Silent:
+        this->loop.after(kCallTimeout, [answer]() { answer(StoreStatus::Unknown); });
+        break;
+    }
+}
+
+void MemoryStore::list(const std::string &prefix, const std::string &afterKey,
+                       ListingHandler handler)
+{
+    this->reply([this, prefix, afterKey, handler](StoreStatus status) {
+        StoreListing page{.status = status, .revision = this->currentRevision};
+        if (status == StoreStatus::Ok) {
+            for (auto item = this->current.upper_bound(std::max(afterKey, prefix));
+                 item != this->current.end() && item->first.starts_with(prefix); ++item) {
+                if (page.items.size() == this->pageSize) {
+                    page.hasMore = true;
+                    break;
+                }
+                page.items.push_back(item->second);
+            }
+        }
+        handler(page);
+    });
+}
+
+void MemoryStore::watch(const std::string &prefix, std::uint64_t revision,
+                        std::chrono::milliseconds wait, ListingHandler handler)
+{
+    if (this->mode != Mode::Serving || revision < this->oldestRevision) {
+        this->reply([handler](StoreStatus status) {
+            const bool isServing = status == StoreStatus::Ok;
+            handler({.status = isServing ? StoreStatus::Compacted : status});
+        });
+        return;
+    }
+    ++this->callCount;
+    const std::uint64_t id = ++this->lastWatch;
+    this->watches.push_back({id, prefix, revision, std::move(handler)});
+    this->loop.after(wait, [this, id]() { this->endWatch(id); });
+    this->loop.after(kAnswerTime, [this]() { this->wake(); });
+}
+
+void MemoryStore::endWatch(std::uint64_t id)
+{
+    const auto watch = std::ranges::find(this->watches, id, &Watch::id);
+    if (watch == this->watches.end()) {
+        return;
+    }
+    const ListingHandler handler = std::move(watch->handler);
+    this->watches.erase(watch);
+    handler({.status = StoreStatus::Ok, .revision = this->currentRevision});
+}
+
+std::vector<StoreItem> MemoryStore::changesAfter(const std::string &prefix,
+                                                 std::uint64_t revision) const
+{
+    std::vector<StoreItem> changes;
+    std::ranges::copy_if(this->history, std::back_inserter(changes),
+                         [&prefix, revision](const StoreItem &item) {
+                             return item.revision > revision && item.key.starts_with(prefix);
+                         });
+    return changes;
+}
+
+void MemoryStore::wake()
+{
+    if (this->mode != Mode::Serving) {
+        return;
+    }
+    std::vector<std::pair<ListingHandler, StoreListing>> due;
+    std::erase_if(this->watches, [this, &due](Watch &watch) {
+        StoreListing changes{.status = StoreStatus::Ok,
+                             .items = this->changesAfter(watch.prefix, watch.revision),
+                             .revision = this->currentRevision};
+        if (changes.items.empty()) {
+            return false;
+        }
+        due.emplace_back(std::move(watch.handler), std::move(changes));
+        return true;
+    });
+    for (const auto &[handler, changes] : due) {
+        handler(changes);
+    }
+}
+
+void MemoryStore::change(StoreItem item)
+{
+    item.revision = ++this->currentRevision;
+    const auto known = this->current.find(item.key);
+    item.createdRevision =
+        known == this->current.end() ? item.revision : known->second.createdRevision;
+    this->history.push_back(item);
+    if (item.isRemoval) {
+        this->current.erase(item.key);
+        this->leaseOfKey.erase(item.key);
+    } else {
+        this->current[item.key] = item;
+    }
+    this->loop.after(kAnswerTime, [this]() { this->wake(); });
+}
+
+void MemoryStore::put(const std::string &key, const std::string &value)
+{
+    this->change({.key = key, .value = value});
+}
+
+void MemoryStore::remove(const std::string &key)
+{
+    if (this->current.contains(key)) {
+        this->change({.key = key, .isRemoval = true});
+    }
+}
+
+void MemoryStore::expire(std::uint64_t lease)
+{
+    this->leases.erase(lease);
+    std::vector<std::string> keys;
+    for (const auto &[key, holder] : this->leaseOfKey) {
+        if (holder == lease) {
+            keys.push_back(key);
+        }
+    }
+    for (const std::string &key : keys) {
+        this->remove(key);
+    }
+}
+
+void MemoryStore::compact()
+{
+    this->oldestRevision = ++this->currentRevision;
+    this->history.clear();
+    std::vector<Watch> cut;
+    std::swap(cut, this->watches);
+    for (const Watch &watch : cut) {
+        watch.handler({.status = StoreStatus::Unknown, .detail = "cut"});
+    }
+}
+
+void MemoryStore::setMode(Mode changed)
+{
+    this->mode = changed;
+    if (changed == Mode::Refusing) {
+        std::vector<Watch> cut;
+        std::swap(cut, this->watches);
+        for (const Watch &watch : cut) {
+            watch.handler({.status = StoreStatus::Unknown, .detail = "cut"});
+        }
+    }
+    this->wake();
+}
+
+void MemoryStore::grantLease(std::chrono::milliseconds timeToLive, LeaseHandler handler)
+{
+    this->reply([this, timeToLive, handler](StoreStatus status) {
+        store::StoreLease lease{.status = status, .timeToLive = timeToLive};
+        if (status == StoreStatus::Ok) {
+            lease.id = ++this->lastLease;
+            this->leases[lease.id] = timeToLive;
+        }
+        handler(lease);
+    });
+}
+
+void MemoryStore::renewLease(std::uint64_t lease, LeaseHandler handler)
+{
+    this->reply([this, lease, handler](StoreStatus status) {
+        const bool isThere = this->leases.contains(lease);
+        if (status == StoreStatus::Ok && !isThere) {
+            status = StoreStatus::Missing;
+        }
+        handler({.status = status,
+                 .id = lease,
+                 .timeToLive = isThere ? this->leases[lease] : std::chrono::milliseconds(0)});
+    });
+}
+
+void MemoryStore::endLease(std::uint64_t lease, StatusHandler handler)
+{
+    this->reply([this, lease, handler](StoreStatus status) {
+        if (status == StoreStatus::Ok) {
+            this->expire(lease);
+        }
+        handler(status, "");
+    });
+}
+
+void MemoryStore::write(const store::StoreWrite &write, StatusHandler handler)
+{
+    this->reply([this, write, handler](StoreStatus status) {
+        const auto known = this->current.find(write.key);
+        const std::uint64_t revision = known == this->current.end() ? 0 : known->second.revision;
+        if (status == StoreStatus::Ok && write.lease != 0 && !this->leases.contains(write.lease)) {
+            status = StoreStatus::Missing;
+        }
+        if (status == StoreStatus::Ok && write.expectedRevision.value_or(revision) != revision) {
+            status = StoreStatus::Conflict;
+        }
+        if (status == StoreStatus::Ok) {
+            this->put(write.key, write.value);
+            this->leaseOfKey[write.key] = write.lease;
+        }
+        handler(status, "");
+    });
+}
+}
