Replace watches that a silent store swallowed

Ruled out: shorter waits, which cost three calls every 3 s a VM instead of one at a tenth of the price every 2 s. Change: renewals every 2 s tell whether the store answers; on its return every follower gives its watch up and asks anew, with an answer at once. A failed watch is asked again the same way.

--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -76,7 +76,7 @@
 }
 }
 
-struct VmProcess::Parts
+struct VmProcess::Parts : public store::IContactListener
 {
     Parts(settings::VmSettings given, std::string path)
         : settings(std::move(given)), settingsPath(std::move(path)),
@@ -115,6 +115,9 @@
           supervisor("root", this->clock, this->log)
     { }
 
+    void onStoreTrouble(const std::string &detail) override;
+    void onStoreReturned() override;
+
     bool start();
     void watchSignals();
     void tick();
@@ -159,6 +162,22 @@
     Reason reason;
 };
 
+void VmProcess::Parts::onStoreTrouble(const std::string &detail)
+{
+    for (store::PrefixFollower *follower :
+         {&this->operatorFollower, &this->upstreamFollower, &this->memberFollower}) {
+        follower->onStoreTrouble(detail);
+    }
+}
+
+void VmProcess::Parts::onStoreReturned()
+{
+    for (store::PrefixFollower *follower :
+         {&this->operatorFollower, &this->upstreamFollower, &this->memberFollower}) {
+        follower->onStoreReturned();
+    }
+}
+
 bool VmProcess::Parts::start()
 {
     this->supervisor.add(this->packets);
@@ -171,6 +190,7 @@
     this->operatorFollower.start();
     this->upstreamFollower.start();
     this->memberFollower.start();
+    this->membership.watchContact(*this);
     this->membership.join();
     this->watchSignals();
     this->loop.every(kTickPeriod, [this]() { this->tick(); });
--- a/src/membership/internal/leasemembership.cpp
+++ b/src/membership/internal/leasemembership.cpp
@@ -2,6 +2,7 @@
 
 #include "global/iclock.h"
 #include "net/ieventloop.h"
+#include "store/icontactlistener.h"
 #include "store/istore.h"
 #include "store/types/storeitem.h"
 #include "store/types/storelease.h"
@@ -15,8 +16,9 @@
 namespace {
 constexpr const char *kPrefix = "vms/";
 constexpr std::chrono::milliseconds kLeaseTime{12000};
-constexpr std::chrono::milliseconds kRenewEvery{4000};
-constexpr std::chrono::milliseconds kRetryAfter{1500};
+//! Also bounds how long trouble of the store stays unnoticed.
+constexpr std::chrono::milliseconds kRenewEvery{2000};
+constexpr std::chrono::milliseconds kRetryAfter{500};
 
 //! Covers the time in which a VM with a lapsed lease takes a new one.
 constexpr std::chrono::milliseconds kLeaveGrace{6000};
@@ -147,6 +149,7 @@
             this->retry(&LeaseMembership::acquire, granted.detail);
             return;
         }
+        this->noteAnswer();
         this->lease = granted.id;
         this->publish();
     });
@@ -165,6 +168,7 @@
         } else if (status != store::StoreStatus::Ok) {
             this->retry(&LeaseMembership::publish, detail);
         } else {
+            this->noteAnswer();
             this->keepLater();
         }
     });
@@ -181,6 +185,7 @@
         } else if (renewed.status != store::StoreStatus::Ok) {
             this->retry(&LeaseMembership::keep, renewed.detail);
         } else {
+            this->noteAnswer();
             this->keepLater();
         }
     });
@@ -188,8 +193,15 @@
 
 void LeaseMembership::retry(void (LeaseMembership::*step)(), const std::string &detail)
 {
-    this->log.write(
-        telemetry::LogEntry(telemetry::LogKind::State, "membership.retry").text("detail", detail));
+    if (!this->inTrouble) {
+        this->inTrouble = true;
+        this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "store.lost")
+                            .text("for", "lease")
+                            .text("detail", detail));
+        if (this->contactListener != nullptr) {
+            this->contactListener->onStoreTrouble(detail);
+        }
+    }
     this->loop.after(kRetryAfter, [this, step, held = this->lease]() {
         if (held == this->lease) {
             (this->*step)();
@@ -197,6 +209,19 @@
     });
 }
 
+void LeaseMembership::noteAnswer()
+{
+    if (!this->inTrouble) {
+        return;
+    }
+    this->inTrouble = false;
+    this->log.write(
+        telemetry::LogEntry(telemetry::LogKind::State, "store.regained").text("for", "lease"));
+    if (this->contactListener != nullptr) {
+        this->contactListener->onStoreReturned();
+    }
+}
+
 void LeaseMembership::keepLater()
 {
     // A timer of a lease that has been replaced meanwhile must not start a second renewal loop.
--- a/src/membership/leasemembership.h
+++ b/src/membership/leasemembership.h
@@ -16,6 +16,7 @@
 class IEventLoop;
 }
 namespace radishladder::store {
+class IContactListener;
 class IStore;
 }
 namespace radishladder::telemetry {
@@ -32,6 +33,9 @@
     LeaseMembership(store::IStore &store, net::IEventLoop &loop, const IClock &clock,
                     telemetry::IEventLog &log, VmName self, DataCentreName dataCentre);
 
+    //! Tells \a listener whether calls on the lease are answered.
+    void watchContact(store::IContactListener &listener) { this->contactListener = &listener; }
+
     //! Prefix under which the members' keys stand.
     static std::string prefix();
 
@@ -64,6 +68,7 @@
     void publish();
     void keep();
     void keepLater();
+    void noteAnswer();
     void retry(void (LeaseMembership::*step)(), const std::string &detail);
 
     store::IStore &store;
@@ -73,6 +78,8 @@
     VmName self;
     DataCentreName dataCentre;
     std::uint64_t lease = 0;
+    store::IContactListener *contactListener = nullptr;
+    bool inTrouble = false;
     bool acquiring = false;
     bool leaving = false;
     std::map<VmName, Member> known;
--- a/src/store/internal/prefixfollower.cpp
+++ b/src/store/internal/prefixfollower.cpp
@@ -8,6 +8,10 @@
 #include <algorithm>
 
 namespace radishladder::store {
+namespace {
+constexpr std::chrono::milliseconds kProbeWait{1};
+}
+
 PrefixFollower::PrefixFollower(IStore &store, net::IEventLoop &loop, IPrefixListener &listener,
                                std::string prefix, const FollowerPacing &pacing)
     : store(store), loop(loop), listener(listener), prefix(std::move(prefix)), pacing(pacing),
@@ -65,7 +69,14 @@
 
 void PrefixFollower::watch()
 {
-    this->store.watch(this->prefix, this->seenRevision, this->pacing.watchWait,
+    // After trouble the first answer must come at once, changes or not: it tells that the store is
+    // back.
+    this->watchFor(this->contact ? this->pacing.watchWait : kProbeWait);
+}
+
+void PrefixFollower::watchFor(std::chrono::milliseconds wait)
+{
+    this->store.watch(this->prefix, this->seenRevision, wait,
                       [this, guard = std::weak_ptr<int>(this->alive)](const StoreListing &changes) {
                           if (!guard.expired()) {
                               this->onWatched(changes);
@@ -107,13 +118,37 @@
 void PrefixFollower::noteFailure(const StoreListing &answer)
 {
     if (this->contact) {
-        this->contact = false;
-        this->listener.onContactLost(answer.detail);
+        this->loseContact(answer.detail);
     } else {
         this->retryDelay = std::min(this->retryDelay * 2, this->pacing.longestRetry);
     }
 }
 
+void PrefixFollower::loseContact(const std::string &detail)
+{
+    this->contact = false;
+    this->listener.onContactLost(detail);
+}
+
+void PrefixFollower::onStoreTrouble(const std::string &detail)
+{
+    if (this->synchronized && this->contact) {
+        this->loseContact(detail);
+    }
+}
+
+void PrefixFollower::onStoreReturned()
+{
+    this->alive = std::make_shared<int>(0);
+    this->store.abandon(this->prefix);
+    this->retryDelay = this->pacing.firstRetry;
+    if (this->synchronized) {
+        this->watch();
+    } else {
+        this->restart();
+    }
+}
+
 void PrefixFollower::schedule(std::chrono::milliseconds delay, void (PrefixFollower::*step)())
 {
     this->loop.after(delay, [this, step, guard = std::weak_ptr<int>(this->alive)]() {
--- a/src/store/istore.h
+++ b/src/store/istore.h
@@ -11,7 +11,8 @@
 struct StoreListing;
 struct StoreWrite;
 
-//! The platform's key-value store; every handler is called exactly once, on the event loop.
+//! The platform's key-value store; every handler is called exactly once, on the event loop, unless
+//! the call is abandoned.
 class IStore
 {
 public:
@@ -29,6 +30,9 @@
     virtual void watch(const std::string &prefix, std::uint64_t revision,
                        std::chrono::milliseconds wait, ListingHandler handler) = 0;
 
+    //! Gives the running list or watch of \a prefix up, with its connection.
+    virtual void abandon(const std::string &prefix) = 0;
+
     virtual void grantLease(std::chrono::milliseconds timeToLive, LeaseHandler handler) = 0;
     virtual void renewLease(std::uint64_t lease, LeaseHandler handler) = 0;
     virtual void endLease(std::uint64_t lease, StatusHandler handler) = 0;
--- a/src/store/prefixfollower.h
+++ b/src/store/prefixfollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "store/icontactlistener.h"
 #include "store/types/followerpacing.h"
 #include "store/types/storeitem.h"
 
@@ -20,15 +21,18 @@
 
 //! Keeps a listener up to date with one prefix: lists it once, then watches, and lists again when
 //! the history that it needs is gone.
-class PrefixFollower
+class PrefixFollower : public IContactListener
 {
 public:
     PrefixFollower(IStore &store, net::IEventLoop &loop, IPrefixListener &listener,
                    std::string prefix, const FollowerPacing &pacing);
-    ~PrefixFollower();
+    ~PrefixFollower() override;
 
     void start();
 
+    void onStoreTrouble(const std::string &detail) override;
+    void onStoreReturned() override;
+
     //! False before the first snapshot.
     bool isSynchronized() const { return this->synchronized; }
     bool hasContact() const { return this->contact; }
@@ -38,9 +42,11 @@
     void listFrom(const std::string &afterKey);
     void onPage(const StoreListing &page);
     void watch();
+    void watchFor(std::chrono::milliseconds wait);
     void onWatched(const StoreListing &changes);
     void noteSuccess();
     void noteFailure(const StoreListing &answer);
+    void loseContact(const std::string &detail);
     void schedule(std::chrono::milliseconds delay, void (PrefixFollower::*step)());
     void restart();
 
@@ -56,7 +62,7 @@
     std::vector<StoreItem> pages;
     std::uint64_t firstPageRevision = 0;
 
-    //! Expires with this object, so that late answers and timers find out.
+    //! Replaced when the running call is given up, so that late answers and timers find out.
     std::shared_ptr<int> alive = std::make_shared<int>(0);
 };
 }
--- a/tools/standins/memorystore.cpp
+++ b/tools/standins/memorystore.cpp
@@ -71,13 +71,23 @@
 
 void MemoryStore::endWatch(std::uint64_t id)
 {
+    const auto silent = std::ranges::find(this->lost, id, &Watch::id);
+    if (silent != this->lost.end()) {
+        const ListingHandler handler = std::move(silent->handler);
+        this->lost.erase(silent);
+        handler({.status = StoreStatus::Unknown, .detail = "no answer"});
+        return;
+    }
     const auto watch = std::ranges::find(this->watches, id, &Watch::id);
     if (watch == this->watches.end()) {
         return;
     }
     const ListingHandler handler = std::move(watch->handler);
+    const StoreListing changes{.status = StoreStatus::Ok,
+                               .items = this->changesAfter(watch->prefix, watch->revision),
+                               .revision = this->currentRevision};
     this->watches.erase(watch);
-    handler({.status = StoreStatus::Ok, .revision = this->currentRevision});
+    handler(changes);
 }
 
 std::vector<StoreItem> MemoryStore::changesAfter(const std::string &prefix,
@@ -175,9 +185,19 @@
             watch.handler({.status = StoreStatus::Unknown, .detail = "cut"});
         }
     }
+    if (changed == Mode::Silent) {
+        std::ranges::move(this->watches, std::back_inserter(this->lost));
+        this->watches.clear();
+    }
     this->wake();
 }
 
+void MemoryStore::abandon(const std::string &prefix)
+{
+    std::erase_if(this->watches, [&prefix](const Watch &watch) { return watch.prefix == prefix; });
+    std::erase_if(this->lost, [&prefix](const Watch &watch) { return watch.prefix == prefix; });
+}
+
 void MemoryStore::grantLease(std::chrono::milliseconds timeToLive, LeaseHandler handler)
 {
     this->reply([this, timeToLive, handler](StoreStatus status) {
--- a/tools/standins/memorystore.h
+++ b/tools/standins/memorystore.h
@@ -24,7 +24,7 @@
     enum class Mode {
         Serving,
         Refusing, //!< each call is turned away at once
-        Silent, //!< no call is answered before its time is up
+        Silent, //!< no call is answered before its time is up, a waiting watch never
     };
 
     explicit MemoryStore(net::IEventLoop &loop) : loop(loop) { }
@@ -33,6 +33,7 @@
               ListingHandler handler) override;
     void watch(const std::string &prefix, std::uint64_t revision, std::chrono::milliseconds wait,
                ListingHandler handler) override;
+    void abandon(const std::string &prefix) override;
     void grantLease(std::chrono::milliseconds timeToLive, LeaseHandler handler) override;
     void renewLease(std::uint64_t lease, LeaseHandler handler) override;
     void endLease(std::uint64_t lease, StatusHandler handler) override;
@@ -87,5 +88,8 @@
     std::map<std::uint64_t, std::chrono::milliseconds> leases;
     std::vector<store::StoreItem> history;
     std::vector<Watch> watches;
+
+    //! Watches on connections that return nothing further; they end with their waiting time.
+    std::vector<Watch> lost;
 };
 }
