Gather more changes in one answer of a watch

Cause: on the grown sites each of 90 watches was answered every 0.6 s during churn; cloud calls were the largest price. Change: pauses of a third of the drain bound (upstreams), a sixth of the configuration bound (operators), 3 s (members).

--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -53,8 +53,13 @@
 //! Part of the memory that records of flows may take.
 constexpr std::size_t kFlowMemoryDivisor = 4;
 
-//! A change is heard well within its bound if answers are at most this part of it apart.
-constexpr int kGatherDivisor = 8;
+//! Pauses between two answers of a watch, as parts of the bound of what is watched: changes that
+//! come one after the other then cost one call for all, and are still heard well within the bound.
+constexpr int kUpstreamGatherDivisor = 3;
+constexpr int kOperatorGatherDivisor = 6;
+
+//! Membership only bounds who warms up an upstream, where two may err at once.
+constexpr std::chrono::milliseconds kMemberGather{3000};
 
 std::size_t flowCapacity(const settings::VmSettings &settings)
 {
@@ -70,10 +75,6 @@
             .judgeSilence = settings.automaticActions};
 }
 
-store::FollowerPacing pacing(std::chrono::milliseconds bound)
-{
-    return {.gather = bound / kGatherDivisor};
-}
 }
 
 struct VmProcess::Parts : public store::IContactListener
@@ -94,11 +95,11 @@
           routingKeeper(this->routes, this->clock, this->log), upstreamFeed(this->upstreamKeeper),
           operatorFeed(this->routingKeeper),
           upstreamFollower(this->store, this->loop, this->upstreamFeed, platform::kUpstreamPrefix,
-                           pacing(this->settings.drain)),
+                           {.gather = this->settings.drain / kUpstreamGatherDivisor}),
           operatorFollower(this->store, this->loop, this->operatorFeed, platform::kOperatorPrefix,
-                           pacing(this->settings.configuration)),
+                           {.gather = this->settings.configuration / kOperatorGatherDivisor}),
           memberFollower(this->store, this->loop, this->membership,
-                         membership::LeaseMembership::prefix(), pacing(this->settings.drain)),
+                         membership::LeaseMembership::prefix(), {.gather = kMemberGather}),
           director(this->routes, this->registry, this->membership, this->table, this->policy,
                    this->pacer, this->settings.name, this->settings.dataCentre,
                    directorLimits(this->settings)),
