--- a/src/app/packetpath.cpp
+++ b/src/app/packetpath.cpp
@@ -17,6 +17,9 @@
 namespace {
 constexpr std::size_t kDatagramBytes = 2048;
 
+//! How often held packets are looked at while this VM starts.
+constexpr std::chrono::milliseconds kHeldCheck{5};
+
 std::string_view eventOf(const flows::FlowDecision &decision)
 {
     switch (decision.action) {
@@ -70,8 +73,34 @@
     });
 }
 
-void PacketPath::handle(std::span<std::uint8_t> datagram)
+void PacketPath::hold(std::span<const std::uint8_t> datagram)
+{
+    this->held.hold(datagram, this->batchTime);
+    if (!this->releasePending) {
+        this->releasePending = true;
+        this->loop.after(kHeldCheck, [this]() { this->releaseHeld(); });
+    }
+}
+
+void PacketPath::releaseHeld()
+{
+    this->releasePending = false;
+    this->batchTime = this->clock.now();
+    if (!this->socket) {
+        return;
+    }
+    for (const auto &datagram : this->held.takeFresh(this->batchTime)) {
+        this->handle(datagram);
+    }
+    this->socket->flush();
+}
+
+void PacketPath::handle(std::span<const std::uint8_t> datagram)
 {
+    if (!this->director.isReady()) {
+        this->hold(datagram);
+        return;
+    }
     const auto packet = this->codec.decode(datagram);
     if (!packet) {
         this->counters->countMalformed();
--- a/src/app/packetpath.h
+++ b/src/app/packetpath.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "app/heldpackets.h"
 #include "flows/types/flowdecision.h"
 #include "net/types/endpoint.h"
 #include "supervision/icomponent.h"
@@ -49,7 +50,9 @@
 
 private:
     void receive();
-    void handle(std::span<std::uint8_t> datagram);
+    void handle(std::span<const std::uint8_t> datagram);
+    void hold(std::span<const std::uint8_t> datagram);
+    void releaseHeld();
     void forward(std::span<const std::uint8_t> datagram, const flows::FlowDecision &decision);
     void reset(const flows::FlowPacket &packet);
     void report(const flows::FlowPacket &packet, const flows::FlowDecision &decision);
@@ -62,6 +65,8 @@
     net::Endpoint local;
     std::unique_ptr<PacketCounters> counters;
     std::unique_ptr<net::BatchSocket> socket;
+    HeldPackets held;
+    bool releasePending = false;
     std::chrono::steady_clock::time_point lastPacketAt;
     std::chrono::steady_clock::time_point batchTime;
     Reason reason;
--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -230,8 +230,7 @@
 
 bool VmProcess::Parts::isReady() const
 {
-    return this->routes.isLoaded() && this->upstreamKeeper.isSynchronized()
-        && !this->stopPolicy.isStopping();
+    return this->director.isReady() && !this->stopPolicy.isStopping();
 }
 
 void VmProcess::Parts::noteReadiness()
--- a/src/flows/flowdirector.h
+++ b/src/flows/flowdirector.h
@@ -47,6 +47,9 @@
 
     FlowDecision decide(const FlowPacket &packet, TimePoint now);
 
+    //! True once configuration and upstreams are known.
+    bool isReady() const;
+
     //! What this VM knows of \a upstream, for the log.
     FlowEvidence evidence(upstreams::UpstreamId upstream, TimePoint now) const;
 
--- a/src/flows/internal/flowdirector.cpp
+++ b/src/flows/internal/flowdirector.cpp
@@ -25,6 +25,14 @@
 //! Part of an upstream's connections that new flows may fill; the rest is for flows not seen here.
 constexpr double kConnectionShare = 0.9;
 
+//! Stands in a record for the upstream of a token that no known upstream has.
+constexpr upstreams::UpstreamId kUnknown{0};
+
+bool isKnown(const FlowRecord &record)
+{
+    return record.upstream != kUnknown;
+}
+
 bool isAfter(std::uint32_t later, std::uint32_t earlier)
 {
     return static_cast<std::int32_t>(later - earlier) > 0;
@@ -55,12 +63,17 @@
 
 FlowDecision FlowDirector::decide(const FlowPacket &packet, TimePoint now)
 {
-    if (!this->routes.isLoaded()) {
+    if (!this->isReady()) {
         return refused(FlowAction::Drop, ResultCode::FlowNotReady);
     }
     return packet.opens ? this->decideOpening(packet, now) : this->decideOpen(packet, now);
 }
 
+bool FlowDirector::isReady() const
+{
+    return this->routes.isLoaded() && this->registry.isSynchronized();
+}
+
 FlowDecision FlowDirector::decideOpening(const FlowPacket &packet, TimePoint now)
 {
     const routing::Route *route = this->routes.find(packet.flow.service);
@@ -237,10 +250,13 @@
         record->phase = FlowPhase::Open;
         record->acknowledged = packet.acknowledged;
         this->table.noteProgress(*record, now);
-    } else if (record != nullptr && record->phase != FlowPhase::Opening) {
+    } else if (record != nullptr && record->phase != FlowPhase::Opening && isKnown(*record)) {
         upstream = this->registry.find(record->upstream);
-    } else if (record == nullptr && upstream != nullptr) {
-        record = this->recordOf(packet, upstream->upstream.id, now);
+    } else if (record != nullptr && record->phase == FlowPhase::Open && upstream != nullptr) {
+        this->table.move(*record, upstream->upstream.id);
+    } else if (record == nullptr && packet.token != 0) {
+        record =
+            this->recordOf(packet, upstream != nullptr ? upstream->upstream.id : kUnknown, now);
     }
     if (record != nullptr) {
         this->observe(packet, *record, now);
@@ -296,15 +312,18 @@
     if (this->routes.wasRemoved(packet.flow.service)) {
         return refused(FlowAction::Reset, ResultCode::FlowRouteRemoved);
     }
+    const bool isStuck = record != nullptr && record->repeats > 0 && !packet.resets;
     if (upstream == nullptr) {
-        return refused(FlowAction::Drop, ResultCode::FlowTokenUnknown);
+        // Without doubt about the store, an upstream that is not listed does not live.
+        const bool mayReset = isStuck && this->registry.isTrusted();
+        return refused(mayReset ? FlowAction::Reset : FlowAction::Drop,
+                       ResultCode::FlowTokenUnknown);
     }
     if (this->routes.isEvacuatedFor(upstream->upstream.dataCentre, this->limits.evacuationGrace,
                                     now)) {
         return refused(FlowAction::Drop, ResultCode::FlowDataCentreOut);
     }
-    const bool isStuck = record != nullptr && record->repeats > 0;
-    if (upstream->presence == upstreams::Presence::Gone && isStuck && !packet.resets) {
+    if (upstream->presence == upstreams::Presence::Gone && isStuck) {
         FlowDecision decision = refused(FlowAction::Reset, ResultCode::FlowUpstreamGone);
         decision.upstream = upstream->upstream.id;
         return decision;
--- a/src/flows/tests/directorfixture.h
+++ b/src/flows/tests/directorfixture.h
@@ -42,6 +42,7 @@
                    this->pacer, VmName(self), DataCentreName("obuda"), {})
     {
         this->configure(1, {80, 90});
+        this->registry.setSynchronized();
     }
 
     void configure(std::uint64_t version, std::initializer_list<std::uint16_t> ports)
--- a/src/flows/tests/flowdirectortest.cpp
+++ b/src/flows/tests/flowdirectortest.cpp
@@ -276,3 +276,53 @@
         }
     });
 }
+
+Test(flowdirector, before_both_configuration_and_upstreams_are_known_nothing_is_refused)
+{
+    struct Row
+    {
+        bool configured;
+        bool synchronized;
+    };
+    const Row rows[] = {{false, true}, {true, false}, {true, true}};
+    for (const Row &row : rows) {
+        routing::RouteTable routes;
+        upstreams::UpstreamRegistry registry(60s);
+        FakeMembership membership;
+        FlowTable table(10);
+        SeededRandom random(1);
+        placement::LocalFirstPolicy policy(random);
+        placement::WarmupPacer pacer;
+        FlowDirector director(routes, registry, membership, table, policy, pacer, VmName("a"),
+                              DataCentreName("obuda"), {});
+        if (row.configured) {
+            routes.apply({.version = 1});
+        }
+        if (row.synchronized) {
+            registry.setSynchronized();
+        }
+        const FlowPacket packet{.flow = {{9, 1}, {1, 80}}, .opens = true};
+        const FlowDecision decision =
+            director.decide(packet, std::chrono::steady_clock::time_point(1h));
+        const bool isReady = row.configured && row.synchronized;
+        cr_assert_eq(director.isReady(), isReady);
+        cr_assert_eq(decision.action, isReady ? FlowAction::Reset : FlowAction::Drop);
+    }
+}
+
+Test(flowdirector, a_stuck_flow_on_an_unlisted_upstream_is_reset_only_without_doubt)
+{
+    // Replays a VM that joined after an upstream had crashed: it never heard of that upstream.
+    for (const bool isTrusted : {true, false}) {
+        DirectorFixture f;
+        f.add(1);
+        f.registry.setTrusted(isTrusted);
+        cr_assert_eq(f.decide(f.data(1, 77, 101)).action, FlowAction::Drop);
+        f.now += 200ms;
+        cr_assert_eq(f.decide(f.data(1, 77, 101)).action,
+                     isTrusted ? FlowAction::Reset : FlowAction::Drop);
+        f.add(77);
+        f.now += 400ms;
+        cr_assert_eq(f.decide(f.data(1, 77, 101)).action, FlowAction::Forward);
+    }
+}
--- a/src/upstreams/internal/upstreamkeeper.cpp
+++ b/src/upstreams/internal/upstreamkeeper.cpp
@@ -60,7 +60,10 @@
     for (const UpstreamId id : missing) {
         this->remove(id);
     }
-    this->synchronized = true;
+    if (!this->registry.isSynchronized()) {
+        this->registry.setSynchronized();
+        this->unstableAt = this->clock.now();
+    }
 }
 
 void UpstreamKeeper::onUpstream(const Upstream &upstream)
@@ -133,7 +136,9 @@
 void UpstreamKeeper::tick()
 {
     const auto now = this->clock.now();
-    if (this->registry.hasDoubtful() && this->isStoreStable()) {
+    const bool isStable = this->isStoreStable();
+    this->registry.setTrusted(isStable && this->registry.isSynchronized());
+    if (this->registry.hasDoubtful() && isStable) {
         for (const UpstreamId id : this->registry.confirmGone(now)) {
             this->log.write(
                 LogEntry(LogKind::State, "upstream.ended").text("upstream", upstreamIdText(id)));
--- a/src/upstreams/upstreamkeeper.h
+++ b/src/upstreams/upstreamkeeper.h
@@ -33,9 +33,6 @@
     //! Ends what has been doubtful for long enough; call it a few times a second.
     void tick();
 
-    //! True once everything there is was heard.
-    bool isSynchronized() const { return this->synchronized; }
-
 private:
     bool isStoreStable() const;
     void remove(UpstreamId id);
@@ -44,7 +41,7 @@
     UpstreamRegistry &registry;
     const IClock &clock;
     telemetry::IEventLog &log;
-    bool synchronized = false;
+
     bool contact = true;
 
     //! Last moment at which the store, or what it said, could not be trusted.
--- a/src/upstreams/upstreamregistry.h
+++ b/src/upstreams/upstreamregistry.h
@@ -51,6 +51,14 @@
     //! Identifiers of all upstreams that have not ended.
     std::vector<UpstreamId> live() const;
 
+    //! Everything there is was heard once.
+    void setSynchronized() { this->synchronized = true; }
+    bool isSynchronized() const { return this->synchronized; }
+
+    //! The store has been stable for so long that an upstream without an entry does not live.
+    void setTrusted(bool isTrusted) { this->trusted = isTrusted; }
+    bool isTrusted() const { return this->trusted; }
+
     std::size_t size() const { return this->records.size(); }
     bool hasDoubtful() const { return this->doubtful > 0; }
 
@@ -63,6 +71,8 @@
 
     std::chrono::milliseconds keepGone;
     std::size_t doubtful = 0;
+    bool synchronized = false;
+    bool trusted = false;
     std::unordered_map<UpstreamId, std::unique_ptr<UpstreamRecord>> records;
     std::unordered_map<std::uint32_t, UpstreamRecord *> tokens;
     std::unordered_map<ServiceName, std::vector<UpstreamRecord *>> services;
