Reset idempotent flows whose upstream is silent

Change: a flow that repeats itself is reset when three flows on the upstream have waited 0.5 s, or it alone 1.2 s, and nobody was answered since; only for idempotent routes, only with automatic actions on. Packets that are held back from a data centre that is out prove no silence. Tests replay the silent death, the frozen VM, the evacuation; each fails without its part.

--- a/src/flows/flowdirector.h
+++ b/src/flows/flowdirector.h
@@ -65,6 +65,7 @@
     FlowDecision decideOpen(const FlowPacket &packet, TimePoint now);
     FlowDecision decideEnded(const FlowPacket &packet, FlowRecord *record,
                              const upstreams::UpstreamRecord *upstream, TimePoint now);
+    bool isAbandoned(const FlowPacket &packet, const FlowRecord &record, TimePoint now) const;
     void observe(const FlowPacket &packet, FlowRecord &record, TimePoint now);
     FlowRecord *recordOf(const FlowPacket &packet, upstreams::UpstreamId upstream, TimePoint now);
 
--- a/src/flows/internal/flowdirector.cpp
+++ b/src/flows/internal/flowdirector.cpp
@@ -19,6 +19,14 @@
 //! A repeat that follows sooner was not caused by silence: it waited in a queue on its way here.
 constexpr std::chrono::milliseconds kLeastSilence{150};
 
+//! Silence after which flows on one upstream are given up if several of them wait.
+constexpr std::chrono::milliseconds kSharedSilence{500};
+constexpr int kSilentFlowsForReset = 3;
+
+//! Silence after which a flow is given up on its own evidence; requests take a third of it at most.
+constexpr std::chrono::milliseconds kOwnSilence{1200};
+constexpr int kRepeatsForReset = 3;
+
 //! Load of a long flow between two requests, in requests.
 constexpr double kIdleFlowLoad = 0.04;
 
@@ -38,6 +46,14 @@
     return static_cast<std::int32_t>(later - earlier) > 0;
 }
 
+//! Nothing is forwarded, so the upstream's silence from before says nothing.
+void restartWait(FlowRecord &record, std::chrono::steady_clock::time_point now)
+{
+    record.lastPacket = now;
+    record.waitingSince = now;
+    record.repeats = 0;
+}
+
 FlowDecision refused(FlowAction action, ResultCode reason)
 {
     return {.action = action, .reason = reason};
@@ -258,6 +274,14 @@
         record =
             this->recordOf(packet, upstream != nullptr ? upstream->upstream.id : kUnknown, now);
     }
+    if (upstream != nullptr
+        && this->routes.isEvacuatedFor(upstream->upstream.dataCentre, this->limits.evacuationGrace,
+                                       now)) {
+        if (record != nullptr) {
+            restartWait(*record, now);
+        }
+        return refused(FlowAction::Drop, ResultCode::FlowDataCentreOut);
+    }
     if (record != nullptr) {
         this->observe(packet, *record, now);
     }
@@ -319,18 +343,38 @@
         return refused(mayReset ? FlowAction::Reset : FlowAction::Drop,
                        ResultCode::FlowTokenUnknown);
     }
-    if (this->routes.isEvacuatedFor(upstream->upstream.dataCentre, this->limits.evacuationGrace,
-                                    now)) {
-        return refused(FlowAction::Drop, ResultCode::FlowDataCentreOut);
-    }
     if (upstream->presence == upstreams::Presence::Gone && isStuck) {
         FlowDecision decision = refused(FlowAction::Reset, ResultCode::FlowUpstreamGone);
         decision.upstream = upstream->upstream.id;
         return decision;
     }
+    if (isStuck && this->isAbandoned(packet, *record, now)) {
+        FlowDecision decision = refused(FlowAction::Reset, ResultCode::FlowUpstreamSilent);
+        decision.upstream = upstream->upstream.id;
+        return decision;
+    }
     return {};
 }
 
+bool FlowDirector::isAbandoned(const FlowPacket &packet, const FlowRecord &record,
+                               TimePoint now) const
+{
+    // Load pattern: part of a service dies without a word, and long flows wait on it until their
+    // callers' deadlines. Callers repeat idempotent requests after a reset; others gain nothing by
+    // one, and may still get a late answer.
+    const routing::Route *route = this->routes.find(packet.flow.service);
+    const bool isRepeatable = route != nullptr && route->kind == routing::RequestKind::Idempotent;
+    const UpstreamLoad *load = this->table.load(record.upstream);
+    if (!this->limits.judgeSilence || !isRepeatable || load == nullptr
+        || load->lastProgress > record.waitingSince) {
+        return false;
+    }
+    const auto waited = now - record.waitingSince;
+    const bool manyWait = load->silentFlows >= kSilentFlowsForReset && waited >= kSharedSilence;
+    const bool waitsLong = record.repeats >= kRepeatsForReset && waited >= kOwnSilence;
+    return manyWait || waitsLong;
+}
+
 FlowDecision FlowDirector::forward(const upstreams::UpstreamRecord &upstream) const
 {
     return {.action = FlowAction::Forward,
--- a/src/flows/tests/directorfixture.h
+++ b/src/flows/tests/directorfixture.h
@@ -45,12 +45,14 @@
         this->registry.setSynchronized();
     }
 
-    void configure(std::uint64_t version, std::initializer_list<std::uint16_t> ports)
+    void configure(std::uint64_t version, std::initializer_list<std::uint16_t> ports,
+                   routing::RequestKind kind = routing::RequestKind::Idempotent)
     {
         routing::Configuration configuration{.version = version};
         for (const std::uint16_t port : ports) {
             configuration.routes.push_back(
                 {.address = {1, port},
+                 .kind = kind,
                  .services = {{ServiceName(port == 80 ? "portal" : "intake"), 1}}});
         }
         configuration.services[ServiceName("portal")] = {.maxConnections = 2000,
--- a/src/flows/tests/flowdirectortest.cpp
+++ b/src/flows/tests/flowdirectortest.cpp
@@ -326,3 +326,112 @@
         cr_assert_eq(f.decide(f.data(1, 77, 101)).action, FlowAction::Forward);
     }
 }
+
+namespace {
+//! Opens flows from ports 1 to \a count on the only upstream and sends a request on each.
+void sendRequests(DirectorFixture &f, std::uint16_t count)
+{
+    for (std::uint16_t port = 1; port <= count; ++port) {
+        f.decide(f.opening(port));
+        f.decide(f.data(port, 1, 101));
+    }
+    f.now += 1ms;
+}
+}
+
+Test(flowdirector, long_flows_on_an_upstream_that_died_silently_end_early)
+{
+    // Replays a day on which a quarter of a service died without a word: callers repeat a request
+    // after 0.2, 0.6 and 1.4 s.
+    struct Row
+    {
+        const char *name;
+        std::uint16_t flows;
+        std::uint16_t answered; //!< flows that get an answer after 0.3 s
+        std::chrono::milliseconds resetAt; //!< 0 for never
+    };
+    const Row rows[] = {
+        {"three flows wait", 3, 0, 600ms},
+        {"one flow waits", 1, 0, 1400ms},
+        {"another flow is answered", 4, 1, 0ms},
+    };
+    for (const Row &row : rows) {
+        DirectorFixture f;
+        f.add(1);
+        sendRequests(f, row.flows);
+        const auto start = f.now;
+        std::chrono::milliseconds resetAt{0};
+        for (const auto at : {200ms, 300ms, 600ms, 1400ms}) {
+            f.now = start + at;
+            if (at == 300ms) {
+                for (std::uint16_t port = 1; port <= row.answered; ++port) {
+                    f.decide(f.data(port, 1, 301, 900));
+                }
+                continue;
+            }
+            for (std::uint16_t port = row.flows; port > row.answered; --port) {
+                const FlowDecision decision = f.decide(f.data(port, 1, 101));
+                if (decision.action == FlowAction::Reset && resetAt == 0ms) {
+                    cr_assert_eq(decision.reason, ResultCode::FlowUpstreamSilent);
+                    resetAt = at;
+                }
+            }
+        }
+        cr_assert_eq(resetAt.count(), row.resetAt.count(), "%s", row.name);
+    }
+}
+
+Test(flowdirector, silence_ends_no_flow_that_callers_cannot_repeat_or_that_operators_froze)
+{
+    for (const bool isFrozen : {true, false}) {
+        DirectorFixture f;
+        f.add(1);
+        if (isFrozen) {
+            f.director.setLimits({.judgeSilence = false});
+        } else {
+            f.configure(2, {80}, routing::RequestKind::NonIdempotent);
+        }
+        sendRequests(f, 5);
+        for (int i = 1; i <= 20; ++i) {
+            f.now += 200ms;
+            for (std::uint16_t port = 1; port <= 5; ++port) {
+                cr_assert_eq(f.decide(f.data(port, 1, 101)).action, FlowAction::Forward);
+            }
+        }
+    }
+}
+
+Test(flowdirector, a_frozen_vm_that_wakes_to_a_queue_of_repeats_ends_no_flow)
+{
+    DirectorFixture f;
+    f.add(1);
+    sendRequests(f, 5);
+    for (int repeat = 0; repeat < 4; ++repeat) {
+        for (std::uint16_t port = 1; port <= 5; ++port) {
+            cr_assert_eq(f.decide(f.data(port, 1, 101)).action, FlowAction::Forward);
+        }
+        f.now += 1ms;
+    }
+}
+
+Test(flowdirector, packets_held_back_from_a_data_centre_that_is_out_prove_no_silence)
+{
+    // Replays a data centre that came back while callers still repeated requests from before.
+    DirectorFixture f;
+    f.add(1);
+    sendRequests(f, 5);
+    f.routes.evacuate(DataCentreName("obuda"), f.now);
+    f.now += 4s;
+    for (int i = 0; i < 10; ++i) {
+        f.now += 400ms;
+        for (std::uint16_t port = 1; port <= 5; ++port) {
+            cr_assert_eq(f.decide(f.data(port, 1, 301)).reason, ResultCode::FlowDataCentreOut);
+        }
+    }
+    f.routes.takeBack(DataCentreName("obuda"));
+    f.now += 400ms;
+    for (std::uint16_t port = 1; port <= 5; ++port) {
+        cr_assert_eq(f.decide(f.data(port, 1, 301)).action, FlowAction::Forward);
+    }
+    cr_assert_not(f.table.isSuspect({1}));
+}
