--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -109,10 +109,14 @@
           packets(this->loop, this->clock, this->codec, this->director, this->log, this->metrics,
                   this->settings.packets),
           readiness("readiness", this->loop, this->settings.readiness,
-                    [this](const net::HttpRequest &) { return this->answerProbe(); }),
+                    [this](const net::HttpRequest &, const net::IHttpServer::Responder &respond) {
+                        respond(this->answerProbe());
+                    }),
           operations(
               "operations", this->loop, this->settings.operations,
-              [this](const net::HttpRequest &request) { return this->pages.answer(request); }),
+              [this](const net::HttpRequest &request, const net::IHttpServer::Responder &respond) {
+                  respond(this->pages.answer(request));
+              }),
           supervisor("root", this->clock, this->log)
     { }
 
--- a/src/flows/internal/flowdirector.cpp
+++ b/src/flows/internal/flowdirector.cpp
@@ -22,6 +22,7 @@
 //! Silence after which flows on one upstream are given up if several of them wait.
 constexpr std::chrono::milliseconds kSharedSilence{500};
 constexpr int kSilentFlowsForReset = 3;
+constexpr int kRepeatsForSharedReset = 2;
 
 //! Silence after which a flow is given up on its own evidence; requests take a third of it at most.
 constexpr std::chrono::milliseconds kOwnSilence{1200};
@@ -325,7 +326,11 @@
         record.waitingSince = now;
         this->table.setBusy(record, true);
     } else if (now - record.waitingSince >= kLeastSilence) {
-        ++record.repeats;
+        // Repeats that waited together in a queue, as after a freeze, prove the silence of one.
+        if (now - record.lastRepeat >= kLeastSilence) {
+            ++record.repeats;
+            record.lastRepeat = now;
+        }
         this->table.noteSilence(record, record.waitingSince);
     }
 }
@@ -370,7 +375,8 @@
         return false;
     }
     const auto waited = now - record.waitingSince;
-    const bool manyWait = load->silentFlows >= kSilentFlowsForReset && waited >= kSharedSilence;
+    const bool manyWait = load->silentFlows >= kSilentFlowsForReset
+        && record.repeats >= kRepeatsForSharedReset && waited >= kSharedSilence;
     const bool waitsLong = record.repeats >= kRepeatsForReset && waited >= kOwnSilence;
     return manyWait || waitsLong;
 }
--- a/src/flows/tests/flowdirectortest.cpp
+++ b/src/flows/tests/flowdirectortest.cpp
@@ -403,14 +403,17 @@
 
 Test(flowdirector, a_frozen_vm_that_wakes_to_a_queue_of_repeats_ends_no_flow)
 {
-    DirectorFixture f;
-    f.add(1);
-    sendRequests(f, 5);
-    for (int repeat = 0; repeat < 4; ++repeat) {
-        for (std::uint16_t port = 1; port <= 5; ++port) {
-            cr_assert_eq(f.decide(f.data(port, 1, 101)).action, FlowAction::Forward);
+    for (const auto frozenFor : {0ms, 3500ms}) {
+        DirectorFixture f;
+        f.add(1);
+        sendRequests(f, 5);
+        f.now += frozenFor;
+        for (int repeat = 0; repeat < 4; ++repeat) {
+            for (std::uint16_t port = 1; port <= 5; ++port) {
+                cr_assert_eq(f.decide(f.data(port, 1, 101)).action, FlowAction::Forward);
+            }
+            f.now += 1ms;
         }
-        f.now += 1ms;
     }
 }
 
--- a/src/flows/types/flowrecord.h
+++ b/src/flows/types/flowrecord.h
@@ -33,7 +33,8 @@
     //! When the packet that still waits for an answer was first forwarded.
     std::chrono::steady_clock::time_point waitingSince;
 
-    //! Packets that repeated an earlier one since the last progress.
+    //! Packets that repeated an earlier one since the last progress; a burst counts once.
     int repeats = 0;
+    std::chrono::steady_clock::time_point lastRepeat;
 };
 }
--- a/src/framework/net/ihttpserver.h
+++ b/src/framework/net/ihttpserver.h
@@ -13,7 +13,9 @@
 class IHttpServer
 {
 public:
-    using Handler = std::function<HttpAnswer(const HttpRequest &)>;
+    //! Sends the answer to one request, at once or later; only the first call has an effect.
+    using Responder = std::function<void(const HttpAnswer &)>;
+    using Handler = std::function<void(const HttpRequest &, const Responder &)>;
 
     virtual ~IHttpServer() = default;
 
--- a/src/framework/net/internal/libeventhttpserver.cpp
+++ b/src/framework/net/internal/libeventhttpserver.cpp
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <event2/buffer.h>
 #include <event2/http.h>
+#include <vector>
 
 namespace radishladder::net {
 namespace {
@@ -41,6 +42,37 @@
     evbuffer_copyout(input, request.body.data(), request.body.size());
     return request;
 }
+
+//! A request that waits for its answer.
+class OpenRequest
+{
+public:
+    explicit OpenRequest(evhttp_request *request) : request(request) { }
+
+    void answer(const HttpAnswer &answer)
+    {
+        if (this->request == nullptr) {
+            return;
+        }
+        evhttp_add_header(evhttp_request_get_output_headers(this->request), "Content-Type",
+                          answer.contentType.c_str());
+        evbuffer *body = evhttp_request_get_output_buffer(this->request);
+        evbuffer_add(body, answer.body.data(), answer.body.size());
+        evhttp_send_reply(this->request, answer.status, nullptr, nullptr);
+        this->request = nullptr;
+    }
+
+    void abandon() { this->request = nullptr; }
+    bool isAnswered() const { return this->request == nullptr; }
+    bool isOn(evhttp_connection *connection) const
+    {
+        return this->request != nullptr
+            && evhttp_request_get_connection(this->request) == connection;
+    }
+
+private:
+    evhttp_request *request;
+};
 }
 
 struct LibeventHttpServer::State
@@ -52,13 +84,36 @@
 
     static void onRequest(evhttp_request *incoming, void *context)
     {
-        const HttpAnswer answer = static_cast<State *>(context)->handler(requestOf(incoming));
-        evhttp_add_header(evhttp_request_get_output_headers(incoming), "Content-Type",
-                          answer.contentType.c_str());
-        evbuffer *body = evhttp_request_get_output_buffer(incoming);
-        evbuffer_add(body, answer.body.data(), answer.body.size());
-        evhttp_send_reply(incoming, answer.status, nullptr, nullptr);
+        auto *state = static_cast<State *>(context);
+        const auto open = std::make_shared<OpenRequest>(incoming);
+        evhttp_connection_set_closecb(evhttp_request_get_connection(incoming), onClosed, state);
+        state->open.push_back(open);
+        state->handler(requestOf(incoming),
+                       [open](const HttpAnswer &answer) { open->answer(answer); });
+        state->forgetAnswered();
+    }
+
+    //! The caller has gone: whoever still answers must not touch its request.
+    static void onClosed(evhttp_connection *connection, void *context)
+    {
+        auto *state = static_cast<State *>(context);
+        for (const auto &open : state->open) {
+            if (const auto request = open.lock(); request && request->isOn(connection)) {
+                request->abandon();
+            }
+        }
+        state->forgetAnswered();
     }
+
+    void forgetAnswered()
+    {
+        std::erase_if(this->open, [](const std::weak_ptr<OpenRequest> &request) {
+            const auto held = request.lock();
+            return !held || held->isAnswered();
+        });
+    }
+
+    std::vector<std::weak_ptr<OpenRequest>> open;
 };
 
 LibeventHttpServer::LibeventHttpServer(LibeventLoop &loop) : state(std::make_unique<State>())
--- a/src/framework/net/tests/httptest.cpp
+++ b/src/framework/net/tests/httptest.cpp
@@ -13,12 +13,13 @@
 using namespace std::chrono_literals;
 
 namespace {
-constexpr std::uint16_t kPort = 41871;
-
+//! Tests run side by side, so each has a port of its own.
 struct Fixture
 {
+    explicit Fixture(std::uint16_t port) : address{0x7f000001, port} { }
+
     LibeventLoop loop;
-    Endpoint address{0x7f000001, kPort};
+    Endpoint address;
     LibeventHttpServer server{this->loop};
     LibeventHttpConnection connection{this->loop, this->address};
     std::vector<HttpResult> results;
@@ -34,12 +35,13 @@
     }
 };
 
-HttpAnswer echo(const HttpRequest &request)
+void echo(const HttpRequest &request, const IHttpServer::Responder &respond)
 {
     if (request.path == "/missing") {
-        return {.status = 404, .body = "no"};
+        respond({.status = 404, .body = "no"});
+    } else if (request.path != "/silent") {
+        respond({.body = request.path + "?" + request.query + "|" + request.body});
     }
-    return {.body = request.path + "?" + request.query + "|" + request.body};
 }
 }
 
@@ -57,7 +59,7 @@
         {{.method = HttpMethod::Delete, .path = "/c/7"}, 200, "/c/7?|"},
         {{.path = "/missing"}, 404, "no"},
     };
-    Fixture f;
+    Fixture f(41871);
     cr_assert(f.server.start(f.address, echo));
     for (const Row &row : rows) {
         f.send(row.request);
@@ -68,7 +70,7 @@
 
 Test(http, failure_is_reported_once_and_the_next_request_connects_anew)
 {
-    Fixture f;
+    Fixture f(41872);
     f.send({.path = "/a", .timeout = 300ms});
     cr_assert_eq(f.results.size(), 1U);
     cr_assert_eq(f.results[0].status, 0);
@@ -81,9 +83,32 @@
 
 Test(http, bound_address_is_reported)
 {
-    Fixture f;
+    Fixture f(41873);
     cr_assert(f.server.start(f.address, echo));
     LibeventHttpServer second(f.loop);
-    cr_assert_not(second.start({0x01020304, kPort}, echo));
+    cr_assert_not(second.start({0x01020304, 41875}, echo));
     cr_assert_eq(second.lastReason().code, ResultCode::SocketFailed);
 }
+
+Test(http, an_answer_may_come_later_or_after_the_caller_has_gone)
+{
+    Fixture f(41874);
+    std::vector<IHttpServer::Responder> waiting;
+    cr_assert(f.server.start(
+        f.address, [&waiting](const HttpRequest &, const IHttpServer::Responder &respond) {
+            waiting.push_back(respond);
+        }));
+    f.loop.after(50ms, [&waiting]() { waiting[0]({.body = "late"}); });
+    f.send({.path = "/a"});
+    cr_assert(f.results[0].body == "late");
+    f.send({.path = "/b", .timeout = 100ms});
+    cr_assert_eq(f.results[1].status, 0);
+    f.loop.after(50ms, [&]() {
+        waiting[1]({.body = "too late"});
+        f.loop.stop();
+    });
+    f.loop.run();
+    f.loop.after(20ms, [&]() { waiting[2]({.body = "own"}); });
+    f.send({.path = "/c"});
+    cr_assert(f.results[2].body == "own");
+}
--- a/tools/standins/memorystore.cpp
+++ b/tools/standins/memorystore.cpp
@@ -198,13 +198,26 @@
     std::erase_if(this->lost, [&prefix](const Watch &watch) { return watch.prefix == prefix; });
 }
 
+void MemoryStore::expectRenewal(std::uint64_t lease)
+{
+    Lease &held = this->leases[lease];
+    const std::uint64_t renewals = ++held.renewals;
+    this->loop.after(held.timeToLive, [this, lease, renewals]() {
+        const auto known = this->leases.find(lease);
+        if (known != this->leases.end() && known->second.renewals == renewals) {
+            this->expire(lease);
+        }
+    });
+}
+
 void MemoryStore::grantLease(std::chrono::milliseconds timeToLive, LeaseHandler handler)
 {
     this->reply([this, timeToLive, handler](StoreStatus status) {
         store::StoreLease lease{.status = status, .timeToLive = timeToLive};
         if (status == StoreStatus::Ok) {
             lease.id = ++this->lastLease;
-            this->leases[lease.id] = timeToLive;
+            this->leases[lease.id].timeToLive = timeToLive;
+            this->expectRenewal(lease.id);
         }
         handler(lease);
     });
@@ -216,10 +229,13 @@
         const bool isThere = this->leases.contains(lease);
         if (status == StoreStatus::Ok && !isThere) {
             status = StoreStatus::Missing;
+        } else if (status == StoreStatus::Ok) {
+            this->expectRenewal(lease);
         }
         handler({.status = status,
                  .id = lease,
-                 .timeToLive = isThere ? this->leases[lease] : std::chrono::milliseconds(0)});
+                 .timeToLive =
+                     isThere ? this->leases[lease].timeToLive : std::chrono::milliseconds(0)});
     });
 }
 
--- a/tools/standins/memorystore.h
+++ b/tools/standins/memorystore.h
@@ -72,6 +72,7 @@
     void change(store::StoreItem item);
     void wake();
     void endWatch(std::uint64_t id);
+    void expectRenewal(std::uint64_t lease);
     std::vector<store::StoreItem> changesAfter(const std::string &prefix,
                                                std::uint64_t revision) const;
 
@@ -85,7 +86,13 @@
     std::uint64_t callCount = 0;
     std::map<std::string, store::StoreItem> current;
     std::map<std::string, std::uint64_t> leaseOfKey;
-    std::map<std::uint64_t, std::chrono::milliseconds> leases;
+    struct Lease
+    {
+        std::chrono::milliseconds timeToLive{0};
+        std::uint64_t renewals = 0;
+    };
+
+    std::map<std::uint64_t, Lease> leases;
     std::vector<store::StoreItem> history;
     std::vector<Watch> watches;
 
