Give operators status, upstreams, flow and time line of the VMs

Change: each VM serves /status, /upstreams, /flow and /timeline beside /metrics; radishctl asks several VMs at once and merges; check and diff stay on base file and overlays. Left-out lines are reported once a second at most.

--- a/src/app/operationspages.cpp
+++ b/src/app/operationspages.cpp
@@ -10,6 +10,7 @@
 #include "routing/routetable.h"
 #include "settings/jsonfile.h"
 #include "settings/types/vmsettings.h"
+#include "telemetry/boundedeventlog.h"
 #include "telemetry/igauge.h"
 #include "telemetry/imetrics.h"
 #include "upstreams/types/upstreamrecord.h"
@@ -73,9 +74,10 @@
                                  const routing::RouteTable &routes,
                                  const upstreams::UpstreamRegistry &registry,
                                  const membership::IMembership &membership, flows::FlowTable &table,
-                                 const flows::FlowDirector &director, telemetry::IMetrics &metrics)
+                                 const flows::FlowDirector &director, telemetry::IMetrics &metrics,
+                                 const telemetry::BoundedEventLog &log)
     : settings(settings), clock(clock), routes(routes), registry(registry), membership(membership),
-      table(table), director(director), metrics(metrics)
+      table(table), director(director), metrics(metrics), log(log)
 { }
 
 net::HttpAnswer OperationsPages::answer(const net::HttpRequest &request)
@@ -89,6 +91,9 @@
     if (request.path == "/upstreams") {
         return {.body = this->upstreamsText()};
     }
+    if (request.path == "/timeline") {
+        return {.body = this->timeLineText()};
+    }
     if (request.path == "/flow") {
         return this->flowAnswer(request.query);
     }
@@ -136,6 +141,15 @@
     return settings::jsonText(json);
 }
 
+std::string OperationsPages::timeLineText() const
+{
+    std::string text;
+    for (const std::string &line : this->log.recentStates()) {
+        text += (text.empty() ? "[" : ",\n") + line;
+    }
+    return text.empty() ? "[]" : text + "]";
+}
+
 net::HttpAnswer OperationsPages::flowAnswer(const std::string &query)
 {
     const auto parameters = parametersOf(query);
--- a/src/app/operationspages.h
+++ b/src/app/operationspages.h
@@ -23,6 +23,7 @@
 struct VmSettings;
 }
 namespace radishladder::telemetry {
+class BoundedEventLog;
 class IMetrics;
 }
 namespace radishladder::upstreams {
@@ -31,14 +32,16 @@
 
 namespace radishladder::app {
 
-//! Answers operators' questions about one VM: /metrics, /status, /upstreams and /flow.
+//! Answers operators' questions about one VM: /metrics, /status, /upstreams, /flow
+//! and /timeline.
 class OperationsPages
 {
 public:
     OperationsPages(const settings::VmSettings &settings, const IClock &clock,
                     const routing::RouteTable &routes, const upstreams::UpstreamRegistry &registry,
                     const membership::IMembership &membership, flows::FlowTable &table,
-                    const flows::FlowDirector &director, telemetry::IMetrics &metrics);
+                    const flows::FlowDirector &director, telemetry::IMetrics &metrics,
+                    const telemetry::BoundedEventLog &log);
 
     net::HttpAnswer answer(const net::HttpRequest &request);
 
@@ -46,6 +49,7 @@
     std::string metricsText();
     std::string statusText() const;
     std::string upstreamsText() const;
+    std::string timeLineText() const;
     net::HttpAnswer flowAnswer(const std::string &query);
 
     const settings::VmSettings &settings;
@@ -56,5 +60,6 @@
     flows::FlowTable &table;
     const flows::FlowDirector &director;
     telemetry::IMetrics &metrics;
+    const telemetry::BoundedEventLog &log;
 };
 }
--- /dev/null
+++ b/src/app/radishctl.cpp
@@ -0,0 +1,136 @@
+#include "operations/reports.h"
+#include "operations/vmquery.h"
+#include "settings/configurationdiff.h"
+#include "settings/configurationfiles.h"
+#include "settings/types/difference.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/strings/str_split.h>
+#include <absl/time/time.h>
+#include <iostream>
+
+ABSL_FLAG(std::string, base, "base.json", "check, diff: base file, JSON with comments");
+ABSL_FLAG(std::string, overlays, "", "check, diff: directory of the overlays");
+ABSL_FLAG(std::string, against, "", "diff: base file to compare with");
+ABSL_FLAG(std::string, against_overlays, "", "diff: overlays to compare with");
+ABSL_FLAG(std::string, vms, "", "operations addresses of the VMs, ADDRESS:PORT,...");
+ABSL_FLAG(std::string, caller, "", "flow: ADDRESS:PORT of the caller");
+ABSL_FLAG(std::string, service, "", "flow: ADDRESS:PORT of the service");
+ABSL_FLAG(absl::Duration, timeout, absl::Seconds(2), "longest wait for a VM's answer");
+
+namespace {
+using namespace radishladder;
+
+constexpr const char *kUsage =
+    "Operators' command line of the radishladder load balancer.\n"
+    "radishctl check | diff          offline, on base file and overlays\n"
+    "radishctl status | upstreams | flow | timeline   asks the VMs";
+
+int fail(const Reason &reason)
+{
+    std::cerr << "radishctl: " << static_cast<int>(reason.code) << ' '
+              << resultCodeName(reason.code) << ": " << reason.detail << '\n';
+    return static_cast<int>(reason.code) / 100;
+}
+
+int badUsage(const std::string &detail)
+{
+    return fail({ResultCode::BadUsage, detail});
+}
+
+std::optional<settings::Configuration> load(const std::string &base, const std::string &overlays,
+                                            Reason &reason)
+{
+    settings::ConfigurationFiles files;
+    std::optional<settings::Configuration> configuration;
+    if (files.load(base, overlays)) {
+        configuration = files.configuration();
+    }
+    reason = files.lastReason();
+    return configuration;
+}
+
+int check()
+{
+    Reason reason;
+    const auto configuration =
+        load(absl::GetFlag(FLAGS_base), absl::GetFlag(FLAGS_overlays), reason);
+    if (!configuration) {
+        return fail(reason);
+    }
+    std::cout << "ok: " << configuration->services.size() << " services in "
+              << configuration->dataCentres.size() << " data centres\n";
+    return 0;
+}
+
+int diff()
+{
+    Reason reason;
+    const auto before =
+        load(absl::GetFlag(FLAGS_against), absl::GetFlag(FLAGS_against_overlays), reason);
+    if (!before) {
+        return fail(reason);
+    }
+    const auto after = load(absl::GetFlag(FLAGS_base), absl::GetFlag(FLAGS_overlays), reason);
+    if (!after) {
+        return fail(reason);
+    }
+    for (const settings::Difference &difference : settings::differences(*before, *after)) {
+        std::cout << settings::differenceLine(difference) << '\n';
+    }
+    return 0;
+}
+
+std::optional<std::vector<net::Endpoint>> vms()
+{
+    std::vector<net::Endpoint> endpoints;
+    for (const auto part : absl::StrSplit(absl::GetFlag(FLAGS_vms), ',', absl::SkipEmpty())) {
+        const auto endpoint = net::parseEndpoint(std::string(part));
+        if (!endpoint) {
+            return std::nullopt;
+        }
+        endpoints.push_back(*endpoint);
+    }
+    return endpoints.empty() ? std::nullopt : std::optional(endpoints);
+}
+
+int ask(const std::string &verb)
+{
+    const auto targets = vms();
+    if (!targets) {
+        return badUsage("--vms ADDRESS:PORT,... is required");
+    }
+    const operations::VmQuery query(absl::ToChronoMilliseconds(absl::GetFlag(FLAGS_timeout)));
+    if (verb == "status") {
+        std::cout << operations::statusReport(query.ask(*targets, "/status"));
+    } else if (verb == "upstreams") {
+        std::cout << operations::upstreamsReport(query.ask(*targets, "/upstreams"));
+    } else if (verb == "timeline") {
+        std::cout << operations::timeLineReport(query.ask(*targets, "/timeline"));
+    } else {
+        const std::string flow =
+            "caller=" + absl::GetFlag(FLAGS_caller) + "&service=" + absl::GetFlag(FLAGS_service);
+        std::cout << operations::flowReport(query.ask(*targets, "/flow", flow));
+    }
+    return 0;
+}
+}
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage(kUsage);
+    const auto words = absl::ParseCommandLine(argc, argv);
+    const std::string verb = words.size() == 2 ? words[1] : "";
+    if (verb == "check") {
+        return check();
+    }
+    if (verb == "diff") {
+        return diff();
+    }
+    if (verb == "status" || verb == "upstreams" || verb == "flow" || verb == "timeline") {
+        return ask(verb);
+    }
+    return badUsage("the verb is none of check, diff, status, upstreams, flow, timeline");
+}
--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -105,7 +105,7 @@
                    directorLimits(this->settings)),
           stopPolicy(this->settings.stop),
           pages(this->settings, this->clock, this->routes, this->registry, this->membership,
-                this->table, this->director, this->metrics),
+                this->table, this->director, this->metrics, this->log),
           packets(this->loop, this->clock, this->codec, this->director, this->log, this->metrics,
                   this->settings.packets),
           readiness("readiness", this->loop, this->settings.readiness,
--- a/src/framework/telemetry/boundedeventlog.h
+++ b/src/framework/telemetry/boundedeventlog.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <string>
 
 namespace radishladder {
@@ -29,6 +30,9 @@
     //! Hands buffered lines to the sink; call it a few times a second.
     void flush();
 
+    //! The newest lines of LogKind::State, oldest first.
+    const std::deque<std::string> &recentStates() const { return this->recent; }
+
     //! Lines left out since the start.
     std::uint64_t leftOut() const { return this->totalLeftOut; }
 
@@ -43,6 +47,8 @@
     int budget;
     std::chrono::steady_clock::time_point budgetSince;
     std::string buffer;
+    std::deque<std::string> recent;
+    std::chrono::steady_clock::time_point reportedAt;
     std::uint64_t unreported = 0;
     std::uint64_t totalLeftOut = 0;
 };
--- a/src/framework/telemetry/internal/boundedeventlog.cpp
+++ b/src/framework/telemetry/internal/boundedeventlog.cpp
@@ -9,6 +9,7 @@
 namespace radishladder::telemetry {
 namespace {
 constexpr std::chrono::seconds kBudgetPeriod{1};
+constexpr std::size_t kRecentLines = 256;
 }
 
 BoundedEventLog::BoundedEventLog(const IClock &clock, ILogSink &sink, int flowLinesPerSecond,
@@ -41,7 +42,10 @@
 
 void BoundedEventLog::flush()
 {
-    if (this->unreported > 0 && this->buffer.size() < this->bufferBytes) {
+    const auto now = this->clock.now();
+    const bool isDue = now - this->reportedAt >= kBudgetPeriod;
+    if (this->unreported > 0 && isDue && this->buffer.size() < this->bufferBytes) {
+        this->reportedAt = now;
         LogEntry summary(LogKind::State, "log.leftout");
         summary.number("lines", static_cast<std::int64_t>(this->unreported));
         this->unreported = 0;
@@ -67,7 +71,14 @@
         this->clock.wallNow().time_since_epoch());
     const auto steady =
         std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now().time_since_epoch());
-    absl::StrAppend(&this->buffer, "{\"time_ms\":", wall.count(), ",\"steady_ms\":", steady.count(),
-                    entry.fields(), "}\n");
+    const std::string line = absl::StrCat("{\"time_ms\":", wall.count(),
+                                          ",\"steady_ms\":", steady.count(), entry.fields(), "}");
+    absl::StrAppend(&this->buffer, line, "\n");
+    if (entry.kind() == LogKind::State) {
+        this->recent.push_back(line);
+        if (this->recent.size() > kRecentLines) {
+            this->recent.pop_front();
+        }
+    }
 }
 }
