--- a/src/app/packetcounters.cpp
+++ b/src/app/packetcounters.cpp
@@ -2,6 +2,7 @@
 
 #include "flows/types/flowdecision.h"
 #include "telemetry/icounter.h"
+#include "telemetry/ihistogram.h"
 #include "telemetry/imetrics.h"
 
 namespace radishladder::app {
@@ -10,13 +11,21 @@
       placed(metrics.counter("flows_placed_total")),
       replaced(metrics.counter("flows_placed_again_total")),
       malformed(metrics.counter("packets_malformed_total")),
-      bytes(metrics.counter("forwarded_bytes_total"))
+      bytes(metrics.counter("forwarded_bytes_total")),
+      opening(metrics.histogram("flow_opening_seconds")),
+      answer(metrics.histogram("request_answer_seconds"))
 { }
 
 void PacketCounters::count(const flows::FlowDecision &decision)
 {
     if (decision.action == flows::FlowAction::Forward) {
         this->forwarded.add();
+        if (decision.openedAfter) {
+            this->opening.observe(*decision.openedAfter);
+        }
+        if (decision.answeredAfter) {
+            this->answer.observe(*decision.answeredAfter);
+        }
         if (decision.isPlacement) {
             (decision.isReplacement ? this->replaced : this->placed).add();
         }
--- a/src/app/packetcounters.h
+++ b/src/app/packetcounters.h
@@ -7,6 +7,7 @@
 
 namespace radishladder::telemetry {
 class ICounter;
+class IHistogram;
 class IMetrics;
 }
 
@@ -33,6 +34,8 @@
     telemetry::ICounter &replaced;
     telemetry::ICounter &malformed;
     telemetry::ICounter &bytes;
+    telemetry::IHistogram &opening;
+    telemetry::IHistogram &answer;
     std::map<ResultCode, telemetry::ICounter *> resets;
     std::map<ResultCode, telemetry::ICounter *> drops;
 };
--- a/src/flows/flowdirector.h
+++ b/src/flows/flowdirector.h
@@ -5,6 +5,7 @@
 #include "global/name.h"
 
 #include <chrono>
+#include <optional>
 #include <vector>
 
 namespace radishladder {
@@ -66,7 +67,9 @@
     FlowDecision decideEnded(const FlowPacket &packet, FlowRecord *record,
                              const upstreams::UpstreamRecord *upstream, TimePoint now);
     bool isAbandoned(const FlowPacket &packet, const FlowRecord &record, TimePoint now) const;
-    void observe(const FlowPacket &packet, FlowRecord &record, TimePoint now);
+    //! Time that an answer took, if \a packet shows one.
+    std::optional<std::chrono::milliseconds> observe(const FlowPacket &packet, FlowRecord &record,
+                                                     TimePoint now);
     FlowRecord *recordOf(const FlowPacket &packet, upstreams::UpstreamId upstream, TimePoint now);
 
     const ServiceName &serviceFor(const FlowPacket &packet, const routing::Route &route) const;
--- a/src/flows/internal/flowdirector.cpp
+++ b/src/flows/internal/flowdirector.cpp
@@ -55,6 +55,12 @@
     record.repeats = 0;
 }
 
+std::chrono::milliseconds elapsed(std::chrono::steady_clock::time_point since,
+                                  std::chrono::steady_clock::time_point now)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - since);
+}
+
 FlowDecision refused(FlowAction action, ResultCode reason)
 {
     return {.action = action, .reason = reason};
@@ -257,6 +263,8 @@
 FlowDecision FlowDirector::decideOpen(const FlowPacket &packet, TimePoint now)
 {
     FlowRecord *record = this->table.find(packet.flow);
+    std::optional<std::chrono::milliseconds> openedAfter;
+    std::optional<std::chrono::milliseconds> answeredAfter;
     const upstreams::UpstreamRecord *upstream = this->registry.findByToken(packet.token);
     if (record != nullptr && record->phase == FlowPhase::Opening && upstream != nullptr) {
         // The token of the first packet after the opening names the upstream whose answer the
@@ -265,6 +273,8 @@
             this->table.move(*record, upstream->upstream.id);
         }
         record->phase = FlowPhase::Open;
+        openedAfter = elapsed(record->waitingSince, now);
+        record->waitingSince = now;
         record->acknowledged = packet.acknowledged;
         this->table.noteProgress(*record, now);
     } else if (record != nullptr && record->phase != FlowPhase::Opening && isKnown(*record)) {
@@ -284,7 +294,7 @@
         return refused(FlowAction::Drop, ResultCode::FlowDataCentreOut);
     }
     if (record != nullptr) {
-        this->observe(packet, *record, now);
+        answeredAfter = this->observe(packet, *record, now);
     }
     const FlowDecision ended = this->decideEnded(packet, record, upstream, now);
     if (ended.reason != ResultCode::Ok) {
@@ -295,7 +305,10 @@
     } else if (packet.finishes && record != nullptr) {
         this->table.close(*record);
     }
-    return this->forward(*upstream);
+    FlowDecision decision = this->forward(*upstream);
+    decision.openedAfter = openedAfter;
+    decision.answeredAfter = answeredAfter;
+    return decision;
 }
 
 FlowRecord *FlowDirector::recordOf(const FlowPacket &packet, upstreams::UpstreamId upstream,
@@ -309,17 +322,22 @@
     return record;
 }
 
-void FlowDirector::observe(const FlowPacket &packet, FlowRecord &record, TimePoint now)
+std::optional<std::chrono::milliseconds> FlowDirector::observe(const FlowPacket &packet,
+                                                               FlowRecord &record, TimePoint now)
 {
+    std::optional<std::chrono::milliseconds> answeredAfter;
     record.lastPacket = now;
     if (isAfter(packet.acknowledged, record.acknowledged)) {
+        if (record.isBusy) {
+            answeredAfter = elapsed(record.waitingSince, now);
+        }
         record.acknowledged = packet.acknowledged;
         record.waitingSince = now;
         this->table.noteProgress(record, now);
         this->table.setBusy(record, false);
     }
     if (packet.payloadBytes == 0 || record.phase != FlowPhase::Open) {
-        return;
+        return answeredAfter;
     }
     if (isAfter(packet.sequence, record.highestSequence)) {
         record.highestSequence = packet.sequence;
@@ -333,6 +351,7 @@
         }
         this->table.noteSilence(record, record.waitingSince);
     }
+    return answeredAfter;
 }
 
 FlowDecision FlowDirector::decideEnded(const FlowPacket &packet, FlowRecord *record,
--- a/src/flows/tests/flowdirectortest.cpp
+++ b/src/flows/tests/flowdirectortest.cpp
@@ -438,3 +438,16 @@
     }
     cr_assert_not(f.table.isSuspect({1}));
 }
+
+Test(flowdirector, decisions_tell_how_long_opening_and_answers_took)
+{
+    DirectorFixture f;
+    f.add(1);
+    f.decide(f.opening(1));
+    f.now += 7ms;
+    cr_assert_eq(f.decide(f.data(1, 1, 101)).openedAfter, 7ms);
+    f.now += 45ms;
+    const FlowDecision next = f.decide(f.data(1, 1, 301, 900));
+    cr_assert_eq(next.answeredAfter, 45ms);
+    cr_assert_not(next.openedAfter.has_value());
+}
--- a/src/flows/types/flowdecision.h
+++ b/src/flows/types/flowdecision.h
@@ -4,7 +4,9 @@
 #include "net/types/endpoint.h"
 #include "upstreams/types/upstreamid.h"
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace radishladder::flows {
 
@@ -30,6 +32,12 @@
     //! The packet opened a flow and was given this upstream.
     bool isPlacement = false;
 
+    //! The packet shows that the flow has opened, so long after its first packet was forwarded.
+    std::optional<std::chrono::milliseconds> openedAfter;
+
+    //! The packet shows an answer, so long after the request was forwarded.
+    std::optional<std::chrono::milliseconds> answeredAfter;
+
     //! An earlier copy of the packet had been given another upstream.
     bool isReplacement = false;
 };
--- a/src/framework/telemetry/imetrics.h
+++ b/src/framework/telemetry/imetrics.h
@@ -8,6 +8,7 @@
 namespace radishladder::telemetry {
 class ICounter;
 class IGauge;
+class IHistogram;
 
 using Label = std::pair<std::string, std::string>;
 
@@ -19,6 +20,9 @@
     virtual ICounter &counter(std::string_view name, const std::vector<Label> &labels = {}) = 0;
     virtual IGauge &gauge(std::string_view name, const std::vector<Label> &labels = {}) = 0;
 
+    //! Distribution in seconds, with buckets from 5 ms to 10 s.
+    virtual IHistogram &histogram(std::string_view name) = 0;
+
     //! Prometheus text exposition.
     virtual std::string exposition() const = 0;
 };
--- a/src/framework/telemetry/internal/prometheusmetrics.cpp
+++ b/src/framework/telemetry/internal/prometheusmetrics.cpp
@@ -2,11 +2,13 @@
 
 #include "telemetry/icounter.h"
 #include "telemetry/igauge.h"
+#include "telemetry/ihistogram.h"
 
 #include <map>
 #include <mutex>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
@@ -39,6 +41,22 @@
     prometheus::Gauge &gauge;
 };
 
+class Histogram : public IHistogram
+{
+public:
+    explicit Histogram(prometheus::Histogram &histogram) : histogram(histogram) { }
+    void observe(std::chrono::milliseconds value) override
+    {
+        this->histogram.Observe(std::chrono::duration<double>(value).count());
+    }
+
+private:
+    prometheus::Histogram &histogram;
+};
+
+const prometheus::Histogram::BucketBoundaries kSeconds{0.005, 0.01, 0.02, 0.05, 0.1, 0.2,
+                                                       0.3,   0.5,  1,    2,    5,   10};
+
 std::string fullName(std::string_view name)
 {
     return "radishladder_" + std::string(name);
@@ -53,6 +71,7 @@
         counters;
     std::map<std::pair<std::string, std::map<std::string, std::string>>, std::unique_ptr<Gauge>>
         gauges;
+    std::map<std::string, std::unique_ptr<Histogram>> histograms;
 };
 
 PrometheusMetrics::PrometheusMetrics() : state(std::make_unique<State>()) { }
@@ -85,6 +104,18 @@
     return *slot;
 }
 
+IHistogram &PrometheusMetrics::histogram(std::string_view name)
+{
+    const std::scoped_lock lock(this->state->mutex);
+    auto &slot = this->state->histograms[std::string(name)];
+    if (!slot) {
+        auto &family =
+            prometheus::BuildHistogram().Name(fullName(name)).Register(this->state->registry);
+        slot = std::make_unique<Histogram>(family.Add({}, kSeconds));
+    }
+    return *slot;
+}
+
 std::string PrometheusMetrics::exposition() const
 {
     return prometheus::TextSerializer().Serialize(this->state->registry.Collect());
--- a/src/framework/telemetry/prometheusmetrics.h
+++ b/src/framework/telemetry/prometheusmetrics.h
@@ -15,6 +15,7 @@
 
     ICounter &counter(std::string_view name, const std::vector<Label> &labels = {}) override;
     IGauge &gauge(std::string_view name, const std::vector<Label> &labels = {}) override;
+    IHistogram &histogram(std::string_view name) override;
     std::string exposition() const override;
 
 private:
