--- a/src/app/operationspages.cpp
+++ b/src/app/operationspages.cpp
@@ -143,11 +143,13 @@
 
 std::string OperationsPages::timeLineText() const
 {
-    std::string text;
+    std::string text = "[";
     for (const std::string &line : this->log.recentStates()) {
-        text += (text.empty() ? "[" : ",\n") + line;
+        text.append(text.size() > 1 ? ",\n" : "");
+        text.append(line);
     }
-    return text.empty() ? "[]" : text + "]";
+    text.append("]");
+    return text;
 }
 
 net::HttpAnswer OperationsPages::flowAnswer(const std::string &query)
--- a/src/operations/internal/reports.cpp
+++ b/src/operations/internal/reports.cpp
@@ -29,7 +29,7 @@
 {
     std::string text;
     for (const Json::Value &name : names) {
-        text += (text.empty() ? "" : ",") + name.asString();
+        text.append(text.empty() ? "" : ",").append(name.asString());
     }
     return text.empty() ? "-" : text;
 }
