Learn members by stale polls and let newcomers warm nobody up

And VMs that join together see different parts of each other for seconds: each could own the same cold upstream. Change: each VM polls the members of its own data centre by stale reads every 2.5 s, at a tenth of the price; a VM owns warm-ups 5 s after its key was written; watches of upstreams pause for 0.4 of the drain bound.

--- a/src/app/operationspages.cpp
+++ b/src/app/operationspages.cpp
@@ -105,7 +105,7 @@
     this->metrics.gauge("flows").set(static_cast<double>(this->table.size()));
     this->metrics.gauge("routes").set(static_cast<double>(this->routes.size()));
     this->metrics.gauge("upstreams").set(static_cast<double>(this->registry.live().size()));
-    this->metrics.gauge("vms").set(static_cast<double>(this->membership.allMembers().size()));
+    this->metrics.gauge("vms").set(static_cast<double>(this->membership.members().size()));
     this->metrics.gauge("configuration_version").set(static_cast<double>(this->routes.version()));
     return this->metrics.exposition();
 }
@@ -124,7 +124,7 @@
         json["out"].append(dataCentre.str());
     }
     json["vms"] = Json::arrayValue;
-    for (const VmName &vm : this->membership.allMembers()) {
+    for (const VmName &vm : this->membership.members()) {
         json["vms"].append(vm.str());
     }
     return settings::jsonText(json);
--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -25,6 +25,7 @@
 #include "routing/routingkeeper.h"
 #include "settings/vmsettingsreader.h"
 #include "store/prefixfollower.h"
+#include "store/prefixpoller.h"
 #include "supervision/supervisor.h"
 #include "telemetry/boundedeventlog.h"
 #include "telemetry/descriptorsink.h"
@@ -55,11 +56,11 @@
 
 //! Pauses between two answers of a watch, as parts of the bound of what is watched: changes that
 //! come one after the other then cost one call for all, and are still heard well within the bound.
-constexpr int kUpstreamGatherDivisor = 3;
+constexpr double kUpstreamGatherPart = 0.4;
 constexpr int kOperatorGatherDivisor = 6;
 
 //! Membership only bounds who warms up an upstream, where two may err at once.
-constexpr std::chrono::milliseconds kMemberGather{3000};
+constexpr std::chrono::milliseconds kMemberPeriod{2500};
 
 std::size_t flowCapacity(const settings::VmSettings &settings)
 {
@@ -67,6 +68,11 @@
     return bytes / kFlowMemoryDivisor / kFlowBytes;
 }
 
+std::chrono::milliseconds gatherTime(std::chrono::milliseconds drain)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(drain * kUpstreamGatherPart);
+}
+
 flows::DirectorLimits directorLimits(const settings::VmSettings &settings)
 {
     return {.warmupOverage = settings.warmupOverage,
@@ -95,11 +101,12 @@
           routingKeeper(this->routes, this->clock, this->log), upstreamFeed(this->upstreamKeeper),
           operatorFeed(this->routingKeeper),
           upstreamFollower(this->store, this->loop, this->upstreamFeed, platform::kUpstreamPrefix,
-                           {.gather = this->settings.drain / kUpstreamGatherDivisor}),
+                           {.gather = gatherTime(this->settings.drain)}),
           operatorFollower(this->store, this->loop, this->operatorFeed, platform::kOperatorPrefix,
                            {.gather = this->settings.configuration / kOperatorGatherDivisor}),
-          memberFollower(this->store, this->loop, this->membership,
-                         membership::LeaseMembership::prefix(), {.gather = kMemberGather}),
+          memberPoller(this->store, this->loop, this->membership,
+                       membership::LeaseMembership::prefix(this->settings.dataCentre),
+                       kMemberPeriod),
           director(this->routes, this->registry, this->membership, this->table, this->policy,
                    this->pacer, this->settings.name, this->settings.dataCentre,
                    directorLimits(this->settings)),
@@ -154,7 +161,7 @@
     platform::OperatorFeed operatorFeed;
     store::PrefixFollower upstreamFollower;
     store::PrefixFollower operatorFollower;
-    store::PrefixFollower memberFollower;
+    store::PrefixPoller memberPoller;
     flows::FlowDirector director;
     platform::EchoPacketCodec codec;
     StopPolicy stopPolicy;
@@ -169,18 +176,14 @@
 
 void VmProcess::Parts::onStoreTrouble(const std::string &detail)
 {
-    for (store::PrefixFollower *follower :
-         {&this->operatorFollower, &this->upstreamFollower, &this->memberFollower}) {
-        follower->onStoreTrouble(detail);
-    }
+    this->operatorFollower.onStoreTrouble(detail);
+    this->upstreamFollower.onStoreTrouble(detail);
 }
 
 void VmProcess::Parts::onStoreReturned()
 {
-    for (store::PrefixFollower *follower :
-         {&this->operatorFollower, &this->upstreamFollower, &this->memberFollower}) {
-        follower->onStoreReturned();
-    }
+    this->operatorFollower.onStoreReturned();
+    this->upstreamFollower.onStoreReturned();
 }
 
 bool VmProcess::Parts::start()
@@ -194,7 +197,7 @@
     }
     this->operatorFollower.start();
     this->upstreamFollower.start();
-    this->memberFollower.start();
+    this->memberPoller.start();
     this->membership.watchContact(*this);
     this->membership.join();
     this->watchSignals();
--- a/src/flows/internal/flowdirector.cpp
+++ b/src/flows/internal/flowdirector.cpp
@@ -232,9 +232,8 @@
     const UpstreamLoad *load = this->table.load(id);
     if (load != nullptr) {
         const double own = load->busyFlows + kIdleFlowLoad * (load->openFlows - load->busyFlows);
-        const auto sharing = this->membership.members(upstream.upstream.dataCentre).size();
-        candidate.load = own * static_cast<double>(std::max<std::size_t>(sharing, 1))
-            / std::max(upstream.upstream.slots, 1);
+        const auto sharing = static_cast<double>(this->membership.members().size());
+        candidate.load = own * sharing / std::max(upstream.upstream.slots, 1);
     }
     return candidate;
 }
@@ -250,10 +249,10 @@
 {
     // Load pattern: many upstreams start at once before many VMs. One VM opens flows to each cold
     // upstream, so that the sum over all VMs stays bounded without messages.
-    std::vector<VmName> members = this->membership.members(upstream.upstream.dataCentre);
-    if (members.empty()) {
-        members = this->membership.allMembers();
+    if (upstream.upstream.dataCentre != this->dataCentre || !this->membership.isSettled()) {
+        return false;
     }
+    const std::vector<VmName> members = this->membership.members();
     const auto owner = std::ranges::max_element(members, {}, [&upstream](const VmName &member) {
         return rendezvousScore(upstream.upstream.id.value, member.str());
     });
--- a/src/flows/tests/flowdirectortest.cpp
+++ b/src/flows/tests/flowdirectortest.cpp
@@ -451,3 +451,18 @@
     cr_assert_eq(next.answeredAfter, 45ms);
     cr_assert_not(next.openedAfter.has_value());
 }
+
+Test(flowdirector, a_vm_that_has_just_joined_warms_nobody_up)
+{
+    // Many VMs that join at once see different parts of each other for some seconds; were each to
+    // warm up what it takes for its own, a cold upstream would get a multiple of its bound.
+    for (const bool isSettled : {false, true}) {
+        DirectorFixture f;
+        f.membership.settled = isSettled;
+        auto upstream = f.add(1);
+        upstream.warmupLeft = 5s;
+        f.registry.update(upstream, f.now);
+        cr_assert_eq(f.decide(f.opening(1)).action,
+                     isSettled ? FlowAction::Forward : FlowAction::Reset);
+    }
+}
--- a/src/membership/imembership.h
+++ b/src/membership/imembership.h
@@ -12,10 +12,10 @@
 public:
     virtual ~IMembership() = default;
 
-    //! VMs of \a dataCentre, in the order of their names; this VM is always among its own.
-    virtual std::vector<VmName> members(const DataCentreName &dataCentre) const = 0;
+    //! VMs of the own data centre, this one included, in the order of their names.
+    virtual std::vector<VmName> members() const = 0;
 
-    //! VMs of all data centres.
-    virtual std::vector<VmName> allMembers() const = 0;
+    //! True once the other VMs must have heard of this one, and it of them.
+    virtual bool isSettled() const = 0;
 };
 }
--- a/src/membership/internal/leasemembership.cpp
+++ b/src/membership/internal/leasemembership.cpp
@@ -23,10 +23,13 @@
 //! Covers the time in which a VM with a lapsed lease takes a new one.
 constexpr std::chrono::milliseconds kLeaveGrace{6000};
 
+//! Longer than two polls of the others are apart.
+constexpr std::chrono::milliseconds kSettleTime{5000};
+
 //! "vms/DATA CENTRE/VM".
 std::string keyOf(const DataCentreName &dataCentre, const VmName &vm)
 {
-    return kPrefix + dataCentre.str() + "/" + vm.str();
+    return LeaseMembership::prefix(dataCentre) + vm.str();
 }
 }
 
@@ -36,9 +39,9 @@
       dataCentre(std::move(dataCentre))
 { }
 
-std::string LeaseMembership::prefix()
+std::string LeaseMembership::prefix(const DataCentreName &dataCentre)
 {
-    return kPrefix;
+    return kPrefix + dataCentre.str() + "/";
 }
 
 void LeaseMembership::join()
@@ -61,42 +64,39 @@
     });
 }
 
-std::vector<VmName> LeaseMembership::members(const DataCentreName &wanted) const
+std::vector<VmName> LeaseMembership::members() const
 {
-    std::set<VmName> names;
-    for (const auto &[name, member] : this->known) {
-        if (member.dataCentre == wanted && this->counts(member)) {
+    std::set<VmName> names{this->self};
+    for (const auto &[name, leftAt] : this->known) {
+        if (this->counts(leftAt)) {
             names.insert(name);
         }
     }
-    if (wanted == this->dataCentre) {
-        names.insert(this->self);
-    }
     return {names.begin(), names.end()};
 }
 
-std::vector<VmName> LeaseMembership::allMembers() const
+bool LeaseMembership::isSettled() const
 {
-    std::set<VmName> names{this->self};
-    for (const auto &[name, member] : this->known) {
-        if (this->counts(member)) {
-            names.insert(name);
-        }
-    }
-    return {names.begin(), names.end()};
+    return this->joinedAt && this->clock.now() - *this->joinedAt >= kSettleTime;
 }
 
-bool LeaseMembership::counts(const Member &member) const
+bool LeaseMembership::counts(TimePoint leftAt) const
 {
-    return member.leftAt == std::chrono::steady_clock::time_point::max()
-        || this->clock.now() - member.leftAt < kLeaveGrace;
+    return leftAt == TimePoint::max() || this->clock.now() - leftAt < kLeaveGrace;
 }
 
 void LeaseMembership::onSnapshot(const std::vector<store::StoreItem> &items)
 {
-    const auto now = this->clock.now();
-    for (auto &[name, member] : this->known) {
-        member.leftAt = std::min(member.leftAt, now);
+    std::set<VmName> listed;
+    for (const store::StoreItem &item : items) {
+        listed.insert(VmName(item.key.substr(item.key.rfind('/') + 1)));
+    }
+    for (auto &[name, leftAt] : this->known) {
+        if (!listed.contains(name) && leftAt == TimePoint::max()) {
+            leftAt = this->clock.now();
+            this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "member.left")
+                                .text("vm", name.str()));
+        }
     }
     this->onChanges(items);
 }
@@ -111,24 +111,13 @@
 
 void LeaseMembership::note(const store::StoreItem &item)
 {
-    const std::string::size_type slash = item.key.rfind('/');
-    const std::size_t prefixSize = std::string(kPrefix).size();
-    if (slash == std::string::npos || slash < prefixSize) {
-        this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "membership.key_malformed")
-                            .text("key", item.key));
-        return;
-    }
-    const VmName name(item.key.substr(slash + 1));
-    Member &member = this->known[name];
-    member.dataCentre = DataCentreName(item.key.substr(prefixSize, slash - prefixSize));
-    member.leftAt =
-        item.isRemoval ? this->clock.now() : std::chrono::steady_clock::time_point::max();
-    this->log.write(telemetry::LogEntry(telemetry::LogKind::State,
-                                        item.isRemoval ? "member.left" : "member.joined")
-                        .text("vm", name.str())
-                        .number("revision", static_cast<std::int64_t>(item.revision)));
-    if (item.isRemoval && name == this->self && !this->leaving) {
-        this->acquire();
+    const VmName name(item.key.substr(item.key.rfind('/') + 1));
+    const auto [member, isNew] = this->known.try_emplace(name, TimePoint::max());
+    if (isNew || member->second != TimePoint::max()) {
+        member->second = TimePoint::max();
+        this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "member.joined")
+                            .text("vm", name.str())
+                            .number("revision", static_cast<std::int64_t>(item.revision)));
     }
 }
 
@@ -169,6 +158,7 @@
             this->retry(&LeaseMembership::publish, detail);
         } else {
             this->noteAnswer();
+            this->joinedAt = this->joinedAt.value_or(this->clock.now());
             this->keepLater();
         }
     });
--- a/src/membership/leasemembership.h
+++ b/src/membership/leasemembership.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace radishladder {
@@ -36,8 +37,8 @@
     //! Tells \a listener whether calls on the lease are answered.
     void watchContact(store::IContactListener &listener) { this->contactListener = &listener; }
 
-    //! Prefix under which the members' keys stand.
-    static std::string prefix();
+    //! Prefix of the keys of the members in \a dataCentre.
+    static std::string prefix(const DataCentreName &dataCentre);
 
     //! Starts to hold this VM's own key.
     void join();
@@ -45,8 +46,8 @@
     //! Gives the own key up, before a planned stop.
     void leave();
 
-    std::vector<VmName> members(const DataCentreName &dataCentre) const override;
-    std::vector<VmName> allMembers() const override;
+    std::vector<VmName> members() const override;
+    bool isSettled() const override;
 
     void onSnapshot(const std::vector<store::StoreItem> &items) override;
     void onChanges(const std::vector<store::StoreItem> &items) override;
@@ -54,15 +55,9 @@
     void onContactRegained() override;
 
 private:
-    struct Member
-    {
-        DataCentreName dataCentre;
+    using TimePoint = std::chrono::steady_clock::time_point;
 
-        //! Set when the key went; the member still counts for a while.
-        std::chrono::steady_clock::time_point leftAt = std::chrono::steady_clock::time_point::max();
-    };
-
-    bool counts(const Member &member) const;
+    bool counts(TimePoint leftAt) const;
     void note(const store::StoreItem &item);
     void acquire();
     void publish();
@@ -82,6 +77,9 @@
     bool inTrouble = false;
     bool acquiring = false;
     bool leaving = false;
-    std::map<VmName, Member> known;
+    std::optional<TimePoint> joinedAt;
+
+    //! Each member with the time at which its key went; it still counts for a while.
+    std::map<VmName, TimePoint> known;
 };
 }
--- a/src/store/internal/prefixfollower.cpp
+++ b/src/store/internal/prefixfollower.cpp
@@ -3,6 +3,7 @@
 #include "net/ieventloop.h"
 #include "store/iprefixlistener.h"
 #include "store/istore.h"
+#include "store/types/readkind.h"
 #include "store/types/storelisting.h"
 
 #include <algorithm>
@@ -33,7 +34,7 @@
 
 void PrefixFollower::listFrom(const std::string &afterKey)
 {
-    this->store.list(this->prefix, afterKey,
+    this->store.list(this->prefix, afterKey, ReadKind::Linearizable,
                      [this, guard = std::weak_ptr<int>(this->alive)](const StoreListing &page) {
                          if (!guard.expired()) {
                              this->onPage(page);
--- a/src/store/istore.h
+++ b/src/store/istore.h
@@ -6,6 +6,7 @@
 #include <string>
 
 namespace radishladder::store {
+enum class ReadKind : std::uint8_t;
 enum class StoreStatus : std::uint8_t;
 struct StoreLease;
 struct StoreListing;
@@ -22,8 +23,8 @@
 
     virtual ~IStore() = default;
 
-    //! One page of the items under \a prefix, from behind \a afterKey on; linearizable.
-    virtual void list(const std::string &prefix, const std::string &afterKey,
+    //! One page of the items under \a prefix, from behind \a afterKey on.
+    virtual void list(const std::string &prefix, const std::string &afterKey, ReadKind kind,
                       ListingHandler handler) = 0;
 
     //! Waits up to \a wait for changes under \a prefix after \a revision. One watch a prefix.
--- /dev/null
+++ b/src/store/tests/prefixpollertest.cpp
@@ -0,0 +1,50 @@
+#include "store/prefixpoller.h"
+
+#include "net/manualeventloop.h"
+#include "standins/memorystore.h"
+#include "store/iprefixlistener.h"
+
+#include <criterion/criterion.h>
+
+using namespace radishladder;
+using namespace radishladder::store;
+using namespace std::chrono_literals;
+using standins::MemoryStore;
+
+namespace {
+class FakeListener : public IPrefixListener
+{
+public:
+    void onSnapshot(const std::vector<StoreItem> &items) override { this->items = items.size(); }
+    void onChanges(const std::vector<StoreItem> &) override { }
+    void onContactLost(const std::string &) override { ++this->lost; }
+    void onContactRegained() override { }
+
+    std::size_t items = 0;
+    int lost = 0;
+};
+}
+
+Test(prefixpoller, lists_every_period_through_outages_and_pages)
+{
+    ManualClock clock;
+    net::ManualEventLoop loop(clock);
+    MemoryStore store(loop);
+    store.setPageSize(3);
+    FakeListener listener;
+    PrefixPoller poller(store, loop, listener, "vms/", 2s);
+    for (int i = 0; i < 10; ++i) {
+        store.put("vms/" + std::to_string(i), "{}");
+    }
+    poller.start();
+    loop.advance(100ms);
+    cr_assert_eq(listener.items, 10U);
+    store.setMode(MemoryStore::Mode::Refusing);
+    store.remove("vms/3");
+    loop.advance(5s);
+    cr_assert_eq(listener.items, 10U);
+    cr_assert_gt(listener.lost, 0);
+    store.setMode(MemoryStore::Mode::Serving);
+    loop.advance(2500ms);
+    cr_assert_eq(listener.items, 9U);
+}
--- a/tools/standins/memorystore.cpp
+++ b/tools/standins/memorystore.cpp
@@ -33,7 +33,7 @@
     }
 }
 
-void MemoryStore::list(const std::string &prefix, const std::string &afterKey,
+void MemoryStore::list(const std::string &prefix, const std::string &afterKey, store::ReadKind,
                        ListingHandler handler)
 {
     this->reply([this, prefix, afterKey, handler](StoreStatus status) {
