--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -59,6 +59,10 @@
 constexpr double kUpstreamGatherPart = 0.4;
 constexpr int kOperatorGatherDivisor = 6;
 
+//! A watch whose answer was lost in a silence too short for renewals to notice ends by itself,
+//! while the store does not count as stable again for longer than this.
+constexpr std::chrono::milliseconds kWatchBeyondBound{2000};
+
 //! Membership only bounds who warms up an upstream, where two may err at once.
 constexpr std::chrono::milliseconds kMemberPeriod{2500};
 
@@ -101,9 +105,11 @@
           routingKeeper(this->routes, this->clock, this->log), upstreamFeed(this->upstreamKeeper),
           operatorFeed(this->routingKeeper),
           upstreamFollower(this->store, this->loop, this->upstreamFeed, platform::kUpstreamPrefix,
-                           {.gather = gatherTime(this->settings.drain)}),
+                           {.watchWait = this->settings.drain + kWatchBeyondBound,
+                            .gather = gatherTime(this->settings.drain)}),
           operatorFollower(this->store, this->loop, this->operatorFeed, platform::kOperatorPrefix,
-                           {.gather = this->settings.configuration / kOperatorGatherDivisor}),
+                           {.watchWait = this->settings.configuration + kWatchBeyondBound,
+                            .gather = this->settings.configuration / kOperatorGatherDivisor}),
           memberPoller(this->store, this->loop, this->membership,
                        membership::LeaseMembership::prefix(this->settings.dataCentre),
                        kMemberPeriod),
--- a/src/store/tests/prefixfollowertest.cpp
+++ b/src/store/tests/prefixfollowertest.cpp
@@ -125,3 +125,22 @@
         cr_assert_eq(f.listener.lost, f.listener.regained, "%s", row.name);
     }
 }
+
+Test(prefixfollower, a_watch_swallowed_in_a_short_silence_ends_within_its_wait)
+{
+    // Replays a second of silence that no renewal noticed; nothing tells the follower but the end
+    // of its watch.
+    ManualClock clock;
+    net::ManualEventLoop loop(clock);
+    MemoryStore store(loop);
+    FakeListener listener;
+    PrefixFollower follower(store, loop, listener, "up/", {.watchWait = 5s});
+    follower.start();
+    loop.advance(1s);
+    store.setMode(MemoryStore::Mode::Silent);
+    store.put("up/a", "draining");
+    loop.advance(1s);
+    store.setMode(MemoryStore::Mode::Serving);
+    loop.advance(5s);
+    cr_assert(listener.values["up/a"] == "draining");
+}
--- a/tools/radishbench/caller.cpp
+++ b/tools/radishbench/caller.cpp
@@ -169,7 +169,8 @@
     if (isFromVm && session.isOpen && this->holds(session.key, session.hostSequence)) {
         this->verdicts.breakPromise("flow",
                                     "open flow from port " + std::to_string(session.key.caller.port)
-                                        + " reset though its upstream serves");
+                                        + " reset though its upstream serves, "
+                                        + (session.isWaiting ? "waiting" : "idle"));
     }
     this->finish(session, session.isOpen ? "flows reset" : "flows refused");
 }
--- a/tools/radishbench/upstreamhost.cpp
+++ b/tools/radishbench/upstreamhost.cpp
@@ -113,10 +113,10 @@
 {
     const auto now = steady_clock::now();
     if (this->entry.draining && this->calm.isLate(vmAddress, this->drainedAt, kDrainBound, now)) {
-        this->verdicts.breakPromise("drain", "new flow to a draining upstream");
+        this->verdicts.breakPromise("drain", this->lateFlow(vmAddress, this->drainedAt));
     }
     if (this->outSince && this->calm.isLate(vmAddress, *this->outSince, kEvacuationBound, now)) {
-        this->verdicts.breakPromise("evacuation", "new flow in a data centre that is out");
+        this->verdicts.breakPromise("evacuation", this->lateFlow(vmAddress, *this->outSince));
     }
     if (packet.target.port % 2 != (this->entry.service == "portal" ? 0 : 1)) {
         this->verdicts.breakPromise("route", "flow of another service");
@@ -135,6 +135,14 @@
                 .token = packet.token});
 }
 
+std::string UpstreamHost::lateFlow(std::uint32_t vmAddress, TimePoint change) const
+{
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - change);
+    return "upstream " + upstreams::upstreamIdText({this->entry.id}) + " took a new flow from "
+        + net::addressText(vmAddress) + ", " + std::to_string(age.count()) + " ms after the change";
+}
+
 void UpstreamHost::serve(const WirePacket &packet)
 {
     const flows::FlowKey key{packet.source, packet.target};
--- a/tools/radishbench/upstreamhost.h
+++ b/tools/radishbench/upstreamhost.h
@@ -69,6 +69,7 @@
     void receive();
     void handle(std::span<const std::uint8_t> datagram, std::uint32_t vmAddress);
     void accept(const platform::WirePacket &packet, std::uint32_t vmAddress);
+    std::string lateFlow(std::uint32_t vmAddress, TimePoint change) const;
     void serve(const platform::WirePacket &packet);
     void send(const platform::WirePacket &packet);
     void publish();
--- a/tools/standins/memorystore.cpp
+++ b/tools/standins/memorystore.cpp
@@ -171,7 +171,7 @@
     std::vector<Watch> cut;
     std::swap(cut, this->watches);
     for (const Watch &watch : cut) {
-        watch.handler({.status = StoreStatus::Unknown, .detail = "cut"});
+        watch.handler({.status = StoreStatus::Refused, .detail = "cut"});
     }
 }
 
@@ -182,7 +182,7 @@
         std::vector<Watch> cut;
         std::swap(cut, this->watches);
         for (const Watch &watch : cut) {
-            watch.handler({.status = StoreStatus::Unknown, .detail = "cut"});
+            watch.handler({.status = StoreStatus::Refused, .detail = "cut"});
         }
     }
     if (changed == Mode::Silent) {
