Keep ports of the HTTP tests out of the ephemeral range

Cause: http/an_answer_may_come_later failed once beside four soaks: port 41874 lies in the range from which the system hands out local ports, and a connection of a soak held it. Change: ports 21871 to 21875.

--- a/src/framework/net/tests/httptest.cpp
+++ b/src/framework/net/tests/httptest.cpp
@@ -13,7 +13,8 @@
 using namespace std::chrono_literals;
 
 namespace {
-//! Tests run side by side, so each has a port of its own.
+//! Tests run side by side, so each has a port of its own, below the range that the system hands
+//! out.
 struct Fixture
 {
     explicit Fixture(std::uint16_t port) : address{0x7f000001, port} { }
@@ -59,7 +60,7 @@
         {{.method = HttpMethod::Delete, .path = "/c/7"}, 200, "/c/7?|"},
         {{.path = "/missing"}, 404, "no"},
     };
-    Fixture f(41871);
+    Fixture f(21871);
     cr_assert(f.server.start(f.address, echo));
     for (const Row &row : rows) {
         f.send(row.request);
@@ -70,7 +71,7 @@
 
 Test(http, failure_is_reported_once_and_the_next_request_connects_anew)
 {
-    Fixture f(41872);
+    Fixture f(21872);
     f.send({.path = "/a", .timeout = 300ms});
     cr_assert_eq(f.results.size(), 1U);
     cr_assert_eq(f.results[0].status, 0);
@@ -83,16 +84,16 @@
 
 Test(http, bound_address_is_reported)
 {
-    Fixture f(41873);
+    Fixture f(21873);
     cr_assert(f.server.start(f.address, echo));
     LibeventHttpServer second(f.loop);
-    cr_assert_not(second.start({0x01020304, 41875}, echo));
+    cr_assert_not(second.start({0x01020304, 21875}, echo));
     cr_assert_eq(second.lastReason().code, ResultCode::SocketFailed);
 }
 
 Test(http, an_answer_may_come_later_or_after_the_caller_has_gone)
 {
-    Fixture f(41874);
+    Fixture f(21874);
     std::vector<IHttpServer::Responder> waiting;
     cr_assert(f.server.start(
         f.address, [&waiting](const HttpRequest &, const IHttpServer::Responder &respond) {
