--- a/src/app/operationspages.cpp
+++ b/src/app/operationspages.cpp
@@ -5,6 +5,7 @@
 #include "flows/types/flowevidence.h"
 #include "global/iclock.h"
 #include "membership/imembership.h"
+#include "net/query.h"
 #include "net/types/httpanswer.h"
 #include "net/types/httprequest.h"
 #include "routing/routetable.h"
@@ -16,9 +17,6 @@
 #include "upstreams/types/upstreamrecord.h"
 #include "upstreams/upstreamregistry.h"
 
-#include <absl/strings/str_split.h>
-#include <map>
-
 namespace radishladder::app {
 namespace {
 std::int64_t millisecondsOf(std::chrono::steady_clock::duration duration)
@@ -58,16 +56,6 @@
     return json;
 }
 
-std::map<std::string, std::string> parametersOf(const std::string &query)
-{
-    std::map<std::string, std::string> parameters;
-    for (const auto part : absl::StrSplit(query, '&', absl::SkipEmpty())) {
-        const std::pair<std::string, std::string> field =
-            absl::StrSplit(part, absl::MaxSplits('=', 1));
-        parameters.insert(field);
-    }
-    return parameters;
-}
 }
 
 OperationsPages::OperationsPages(const settings::VmSettings &settings, const IClock &clock,
@@ -154,7 +142,7 @@
 
 net::HttpAnswer OperationsPages::flowAnswer(const std::string &query)
 {
-    const auto parameters = parametersOf(query);
+    const auto parameters = net::queryFields(query);
     const auto endpointOf = [&parameters](const char *name) {
         const auto value = parameters.find(name);
         return value == parameters.end() ? std::nullopt : net::parseEndpoint(value->second);
--- a/src/flows/internal/flowdirector.cpp
+++ b/src/flows/internal/flowdirector.cpp
@@ -252,7 +252,7 @@
     if (upstream.upstream.dataCentre != this->dataCentre || !this->membership.isSettled()) {
         return false;
     }
-    const std::vector<VmName> members = this->membership.members();
+    const std::vector<VmName> &members = this->membership.members();
     const auto owner = std::ranges::max_element(members, {}, [&upstream](const VmName &member) {
         return rendezvousScore(upstream.upstream.id.value, member.str());
     });
--- a/src/flows/tests/directorfixture.h
+++ b/src/flows/tests/directorfixture.h
@@ -18,7 +18,7 @@
 class FakeMembership : public membership::IMembership
 {
 public:
-    std::vector<VmName> members() const override { return this->local; }
+    const std::vector<VmName> &members() const override { return this->local; }
     bool isSettled() const override { return this->settled; }
 
     std::vector<VmName> local{VmName("a")};
--- a/src/membership/imembership.h
+++ b/src/membership/imembership.h
@@ -13,7 +13,7 @@
     virtual ~IMembership() = default;
 
     //! VMs of the own data centre, this one included, in the order of their names.
-    virtual std::vector<VmName> members() const = 0;
+    virtual const std::vector<VmName> &members() const = 0;
 
     //! True once the other VMs must have heard of this one, and it of them.
     virtual bool isSettled() const = 0;
--- a/src/membership/internal/leasemembership.cpp
+++ b/src/membership/internal/leasemembership.cpp
@@ -36,7 +36,7 @@
 LeaseMembership::LeaseMembership(store::IStore &store, net::IEventLoop &loop, const IClock &clock,
                                  telemetry::IEventLog &log, VmName self, DataCentreName dataCentre)
     : store(store), loop(loop), clock(clock), log(log), self(std::move(self)),
-      dataCentre(std::move(dataCentre))
+      dataCentre(std::move(dataCentre)), current{this->self}
 { }
 
 std::string LeaseMembership::prefix(const DataCentreName &dataCentre)
@@ -64,15 +64,13 @@
     });
 }
 
-std::vector<VmName> LeaseMembership::members() const
+void LeaseMembership::rebuild()
 {
     std::set<VmName> names{this->self};
     for (const auto &[name, leftAt] : this->known) {
-        if (this->counts(leftAt)) {
-            names.insert(name);
-        }
+        names.insert(name);
     }
-    return {names.begin(), names.end()};
+    this->current.assign(names.begin(), names.end());
 }
 
 bool LeaseMembership::isSettled() const
@@ -107,6 +105,7 @@
         this->note(item);
     }
     std::erase_if(this->known, [this](const auto &entry) { return !this->counts(entry.second); });
+    this->rebuild();
 }
 
 void LeaseMembership::note(const store::StoreItem &item)
--- a/src/membership/leasemembership.h
+++ b/src/membership/leasemembership.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace radishladder {
 class IClock;
@@ -46,7 +47,7 @@
     //! Gives the own key up, before a planned stop.
     void leave();
 
-    std::vector<VmName> members() const override;
+    const std::vector<VmName> &members() const override { return this->current; }
     bool isSettled() const override;
 
     void onSnapshot(const std::vector<store::StoreItem> &items) override;
@@ -58,6 +59,7 @@
     using TimePoint = std::chrono::steady_clock::time_point;
 
     bool counts(TimePoint leftAt) const;
+    void rebuild();
     void note(const store::StoreItem &item);
     void acquire();
     void publish();
@@ -81,5 +83,8 @@
 
     //! Each member with the time at which its key went; it still counts for a while.
     std::map<VmName, TimePoint> known;
+
+    //! What members() shows; built anew with each listing.
+    std::vector<VmName> current;
 };
 }
