Keep faults of the soak apart from the emulator that they act on

Cause: the world held callers, router and processes as well as every fault, and the soak's own code could not be told from the emulator that demo uses too. Change: tools/radishbench is the emulator (demo), tools/soak the random faults and the proxy behind an interface. Conclusion: behaviour stays.

--- a/tools/radishbench/main.cpp
+++ b/tools/radishbench/main.cpp
@@ -1,4 +1,5 @@
 #include "radishbench/world.h"
+#include "soak/randomfaults.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -45,7 +46,9 @@
 //! Plays one run and prints what was seen; false if a promise did not hold.
 bool playOne(const WorldPlan &plan)
 {
-    World world(plan);
+    soak::RandomFaults faults;
+    const bool withFaults = plan.faultEvery.count() > 0;
+    World world(plan, withFaults ? &faults : nullptr);
     std::cout << "seed " << plan.seed << std::endl;
     if (!world.play()) {
         std::cout << "  the world could not be set up\n";
@@ -96,7 +99,7 @@
     }
 }
 
-int soak()
+int playSoak()
 {
     auto seeds = seedsOf(absl::GetFlag(FLAGS_seeds));
     if (!seeds) {
@@ -124,7 +127,7 @@
         return playOne(planOf(1, false)) ? 0 : 1;
     }
     if (verb == "soak") {
-        return soak();
+        return playSoak();
     }
     std::cerr << "radishbench: 100 BadUsage: the verb is demo or soak\n";
     return 1;
--- a/tools/radishbench/vmhandle.cpp
+++ b/tools/radishbench/vmhandle.cpp
@@ -24,11 +24,11 @@
 
 VmHandle::VmHandle(net::LibeventLoop &loop, const Addresses &addresses, std::string program,
                    std::string directory, std::string dataCentre, int dataCentreNumber, int number,
-                   int index)
+                   net::Endpoint store)
     : loop(loop), addresses(addresses), program(std::move(program)),
       directory(std::move(directory)), ownName(dataCentre + "-" + std::to_string(number)),
       ownDataCentre(std::move(dataCentre)), dataCentreNumber(dataCentreNumber), number(number),
-      index(index)
+      store(store)
 { }
 
 VmHandle::~VmHandle()
@@ -55,7 +55,7 @@
         << "{\"name\": \"" << this->ownName << "\", \"dataCentre\": \"" << this->ownDataCentre
         << "\", \"packets\": \"" << at(Addresses::kPackets) << "\", \"readiness\": \""
         << at(Addresses::kReadiness) << "\", \"operations\": \"" << at(Addresses::kOperations)
-        << "\", \"store\": \"" << net::endpointText(this->addresses.proxy(this->index))
+        << "\", \"store\": \"" << net::endpointText(this->store)
         << "\", \"limits\": {\"drainMs\": 3000}}\n";
 }
 
--- a/tools/radishbench/vmhandle.h
+++ b/tools/radishbench/vmhandle.h
@@ -21,7 +21,7 @@
 public:
     VmHandle(net::LibeventLoop &loop, const Addresses &addresses, std::string program,
              std::string directory, std::string dataCentre, int dataCentreNumber, int number,
-             int index);
+             net::Endpoint store);
     ~VmHandle();
 
     void start();
@@ -60,7 +60,7 @@
     std::string ownDataCentre;
     int dataCentreNumber;
     int number;
-    int index;
+    net::Endpoint store;
     pid_t process = -1;
     int missedProbes = 2;
     bool probing = false;
--- /dev/null
+++ b/tools/radishbench/worldparts.cpp
@@ -0,0 +1,34 @@
+#include "radishbench/worldparts.h"
+
+#include "platform/standins/documents.h"
+#include "radishbench/upstreamhost.h"
+#include "radishbench/vmhandle.h"
+
+namespace radishladder::radishbench {
+std::string dataCentreName(int number)
+{
+    return "dc" + std::to_string(number);
+}
+
+WorldParts::WorldParts(const WorldPlan &plan)
+    : plan(plan), addresses{plan.lane}, random(plan.seed), store(this->loop)
+{ }
+
+WorldParts::~WorldParts() = default;
+
+void WorldParts::addUpstream(int dataCentre, int coldMs)
+{
+    const int number = static_cast<int>(this->upstreams.size());
+    platform::EntryText entry{.id = 0x1000U + static_cast<std::uint64_t>(number),
+                              .service = number % 4 == 3 ? "intake" : "portal",
+                              .address = this->addresses.upstream(number),
+                              .dataCentre = dataCentreName(dataCentre),
+                              .coldMs = coldMs};
+    this->upstreams.push_back(std::make_unique<UpstreamHost>(
+        this->loop, this->store, this->results, entry, this->addresses.caller(), this->calm));
+    if (!this->upstreams.back()->start()) {
+        this->results.count("upstreams that did not start");
+    }
+}
+
+}
--- a/tools/radishbench/tcpproxy.cpp
+++ b/tools/soak/tcpproxy.cpp
@@ -1,4 +1,4 @@
-#include "radishbench/tcpproxy.h"
+#include "soak/tcpproxy.h"
 
 #include "net/libeventloop.h"
 
@@ -11,7 +11,7 @@
 #include <string>
 #include <sys/socket.h>
 
-namespace radishladder::radishbench {
+namespace radishladder::soak {
 namespace {
 constexpr std::chrono::milliseconds kDelay{300};
 
--- a/tools/radishbench/tcpproxy.h
+++ b/tools/soak/tcpproxy.h
@@ -10,7 +10,7 @@
 class LibeventLoop;
 }
 
-namespace radishladder::radishbench {
+namespace radishladder::soak {
 
 //! What a proxy does to the bytes that pass it.
 enum class ProxyFault : std::uint8_t {
--- a/tools/standins/memorystore.h
+++ b/tools/standins/memorystore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "standins/storemode.h"
 #include "store/istore.h"
 #include "store/types/storeitem.h"
 
@@ -20,12 +21,7 @@
 class MemoryStore : public store::IStore
 {
 public:
-    //! How calls are treated.
-    enum class Mode {
-        Serving,
-        Refusing, //!< each call is turned away at once
-        Silent, //!< no call is answered before its time is up, a waiting watch never
-    };
+    using Mode = StoreMode;
 
     explicit MemoryStore(net::IEventLoop &loop) : loop(loop) { }
 
