--- a/src/operations/internal/vmquery.cpp
+++ b/src/operations/internal/vmquery.cpp
@@ -13,6 +13,7 @@
 {
     net::LibeventLoop loop;
     std::vector<VmAnswer> answers;
+    answers.reserve(vms.size());
     for (const net::Endpoint &vm : vms) {
         answers.push_back({.vm = vm});
     }
--- a/src/placement/tests/localfirstpolicytest.cpp
+++ b/src/placement/tests/localfirstpolicytest.cpp
@@ -82,6 +82,7 @@
 {
     rc::check([](const std::vector<std::uint8_t> &rows, std::uint8_t seed) {
         std::vector<Candidate> candidates;
+        candidates.reserve(rows.size());
         for (const std::uint8_t row : rows) {
             candidates.push_back({.isLocal = (row & 1U) != 0,
                                   .isCold = (row & 2U) != 0,
