--- a/src/flows/flowdirector.h
+++ b/src/flows/flowdirector.h
@@ -77,7 +77,8 @@
     placement::Candidate judge(const upstreams::UpstreamRecord &upstream, TimePoint now) const;
     int warmupLimit(const upstreams::UpstreamRecord &upstream) const;
     bool ownsWarmup(const upstreams::UpstreamRecord &upstream) const;
-    bool mayStay(const upstreams::UpstreamRecord &upstream, const FlowRecord &record) const;
+    bool mayStay(const upstreams::UpstreamRecord &upstream, const FlowRecord &record,
+                 TimePoint now) const;
     FlowDecision forward(const upstreams::UpstreamRecord &upstream) const;
 
     const routing::RouteTable &routes;
--- a/src/flows/internal/flowdirector.cpp
+++ b/src/flows/internal/flowdirector.cpp
@@ -124,19 +124,24 @@
         this->table.noteSilence(record, record.waitingSince);
     }
     const upstreams::UpstreamRecord *upstream = this->registry.find(record.upstream);
-    if (upstream != nullptr && this->mayStay(*upstream, record)) {
+    if (upstream != nullptr && this->mayStay(*upstream, record, now)) {
         this->pacer.noteOpened(record.upstream, now);
         return this->forward(*upstream);
     }
     return this->place(packet, route, &record, now);
 }
 
-bool FlowDirector::mayStay(const upstreams::UpstreamRecord &upstream,
-                           const FlowRecord &record) const
+bool FlowDirector::mayStay(const upstreams::UpstreamRecord &upstream, const FlowRecord &record,
+                           TimePoint now) const
 {
     if (!upstream.takesNewFlows() || this->routes.isEvacuated(upstream.upstream.dataCentre)) {
         return false;
     }
+    // Copies that waited together in a queue, as after a freeze, say nothing of the upstream; given
+    // to two of them, both would answer.
+    if (now - record.waitingSince < kLeastSilence) {
+        return true;
+    }
     // Others were answered meanwhile, so this packet or its answer was lost on the way.
     const UpstreamLoad *load = this->table.load(record.upstream);
     return load != nullptr && load->lastProgress > record.waitingSince;
--- a/src/flows/tests/flowdirectortest.cpp
+++ b/src/flows/tests/flowdirectortest.cpp
@@ -466,3 +466,21 @@
                      isSettled ? FlowAction::Forward : FlowAction::Reset);
     }
 }
+
+Test(flowdirector, copies_that_waited_together_in_a_queue_go_to_one_upstream)
+{
+    // Replays a VM that was paused: it found all copies of a first packet at once and gave them to
+    // two upstreams, which both answered, so that the caller mixed the token of one with the
+    // sequence of the other.
+    DirectorFixture f;
+    f.add(1);
+    f.add(2);
+    f.add(3, "kobanya");
+    for (std::uint16_t port = 1; port <= 20; ++port) {
+        const std::uint64_t first = f.decide(f.opening(port)).upstream.value;
+        for (const std::uint32_t copy : {1U, 2U}) {
+            f.now += 1ms;
+            cr_assert_eq(f.decide(f.opening(port, copy)).upstream.value, first);
+        }
+    }
+}
