--- a/src/flows/tests/directorfixture.h
+++ b/src/flows/tests/directorfixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fakemembership.h"
 #include "flows/flowdirector.h"
 #include "flows/flowtable.h"
 #include "flows/types/flowpacket.h"
@@ -14,17 +15,6 @@
 
 namespace radishladder::flows {
 
-//! Members as the test sets them.
-class FakeMembership : public membership::IMembership
-{
-public:
-    const std::vector<VmName> &members() const override { return this->local; }
-    bool isSettled() const override { return this->settled; }
-
-    std::vector<VmName> local{VmName("a")};
-    bool settled = true;
-};
-
 //! One VM in obuda with a route to the service "portal" at port 80 and to "intake" at port 90.
 struct DirectorFixture
 {
--- /dev/null
+++ b/src/flows/tests/fakemembership.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "membership/imembership.h"
+
+#include <vector>
+
+namespace radishladder::flows {
+
+//! Members as the test sets them.
+class FakeMembership : public membership::IMembership
+{
+public:
+    const std::vector<VmName> &members() const override { return this->local; }
+    bool isSettled() const override { return this->settled; }
+
+    std::vector<VmName> local{VmName("a")};
+    bool settled = true;
+};
+}
