Touch no flow with first packets that waited in a paused VM

Cause: a VM that was paused wakes to the first copies of flows whose later copies went through other VMs. Change: a pause of over a second, seen on a clock that counts suspension too, marks what is read in the next 50 ms; first packets among it are dropped (result 309). Callers repeat them or have long given up.

--- a/src/app/packetpath.cpp
+++ b/src/app/packetpath.cpp
@@ -64,8 +64,14 @@
     }
 }
 
+void PacketPath::noteAwake()
+{
+    this->stalls.noteAwake(this->clock.sinceBoot());
+}
+
 void PacketPath::receive()
 {
+    this->noteAwake();
     this->batchTime = this->clock.now();
     this->lastPacketAt = this->batchTime;
     this->socket->receive([this](std::span<std::uint8_t> datagram, const net::Endpoint &) {
@@ -101,11 +107,12 @@
         this->hold(datagram);
         return;
     }
-    const auto packet = this->codec.decode(datagram);
+    auto packet = this->codec.decode(datagram);
     if (!packet) {
         this->counters->countMalformed();
         return;
     }
+    packet->mayHaveWaited = this->stalls.mayHaveWaited();
     const flows::FlowDecision decision = this->director.decide(*packet, this->batchTime);
     this->counters->count(decision);
     if (decision.action == flows::FlowAction::Forward) {
--- a/src/app/packetpath.h
+++ b/src/app/packetpath.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "app/heldpackets.h"
+#include "app/stalldetector.h"
 #include "flows/types/flowdecision.h"
 #include "net/types/endpoint.h"
 #include "supervision/icomponent.h"
@@ -45,6 +46,9 @@
     bool isHealthy() const override { return this->socket != nullptr; }
     Reason lastReason() const override { return this->reason; }
 
+    //! Call it several times a second, so that a pause of the process shows.
+    void noteAwake();
+
     //! When the last packet arrived.
     std::chrono::steady_clock::time_point lastPacket() const { return this->lastPacketAt; }
 
@@ -66,6 +70,7 @@
     std::unique_ptr<PacketCounters> counters;
     std::unique_ptr<net::BatchSocket> socket;
     HeldPackets held;
+    StallDetector stalls;
     bool releasePending = false;
     std::chrono::steady_clock::time_point lastPacketAt;
     std::chrono::steady_clock::time_point batchTime;
--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -227,6 +227,7 @@
 void VmProcess::Parts::tick()
 {
     const auto now = this->clock.now();
+    this->packets.noteAwake();
     this->upstreamKeeper.tick();
     this->table.sweep(now, this->routes.idleTimeout());
     this->pacer.sweep(now);
--- a/src/flows/internal/flowdirector.cpp
+++ b/src/flows/internal/flowdirector.cpp
@@ -99,6 +99,10 @@
 
 FlowDecision FlowDirector::decideOpening(const FlowPacket &packet, TimePoint now)
 {
+    if (packet.mayHaveWaited) {
+        // Neither a reset nor a second upstream's answer may hit a flow that is open by now.
+        return refused(FlowAction::Drop, ResultCode::FlowOvertaken);
+    }
     const routing::Route *route = this->routes.find(packet.flow.service);
     if (route == nullptr) {
         return refuseOpening(packet, ResultCode::FlowNoRoute);
--- a/src/flows/tests/flowdirectortest.cpp
+++ b/src/flows/tests/flowdirectortest.cpp
@@ -467,6 +467,28 @@
     }
 }
 
+Test(flowdirector, first_packets_that_waited_in_a_paused_vm_touch_no_flow)
+{
+    // Replays a VM that woke to the first copies of a flow that a later copy had opened through
+    // another VM: a reset would end that flow, a second answer would change its token.
+    for (const bool hasUpstream : {true, false}) {
+        DirectorFixture f;
+        if (hasUpstream) {
+            f.add(1);
+        }
+        for (const std::uint32_t copy : {0U, 1U, 2U}) {
+            FlowPacket packet = f.opening(1, copy);
+            packet.mayHaveWaited = true;
+            const FlowDecision decision = f.decide(packet);
+            cr_assert_eq(decision.action, FlowAction::Drop);
+            cr_assert_eq(decision.reason, ResultCode::FlowOvertaken);
+        }
+        FlowPacket open = f.data(2, 1, 101);
+        open.mayHaveWaited = true;
+        cr_assert_eq(f.decide(open).action, hasUpstream ? FlowAction::Forward : FlowAction::Drop);
+    }
+}
+
 Test(flowdirector, copies_that_waited_together_in_a_queue_go_to_one_upstream)
 {
     // Replays a VM that was paused: it found all copies of a first packet at once and gave them to
--- a/src/flows/types/flowpacket.h
+++ b/src/flows/types/flowpacket.h
@@ -24,5 +24,8 @@
     std::uint32_t token = 0;
 
     std::uint16_t payloadBytes = 0;
+
+    //! It may have waited while this VM was paused, and later copies gone through other VMs.
+    bool mayHaveWaited = false;
 };
 }
--- a/src/framework/global/internal/resultcode.cpp
+++ b/src/framework/global/internal/resultcode.cpp
@@ -38,6 +38,8 @@
      "A repeated first packet of a flow that is open."},
     {ResultCode::FlowUpstreamSilent, "FlowUpstreamSilent",
      "The upstream of the flow answers none of its flows."},
+    {ResultCode::FlowOvertaken, "FlowOvertaken",
+     "A first packet waited while the VM was paused; its flow may have opened elsewhere."},
     {ResultCode::EntryMalformed, "EntryMalformed",
      "An entry of an upstream lacks a field or has one of the wrong type."},
     {ResultCode::EntryUnknownState, "EntryUnknownState",
--- a/src/framework/global/manualclock.h
+++ b/src/framework/global/manualclock.h
@@ -9,6 +9,7 @@
 {
 public:
     std::chrono::steady_clock::time_point now() const override { return this->steady; }
+    std::chrono::nanoseconds sinceBoot() const override { return this->steady.time_since_epoch(); }
     std::chrono::system_clock::time_point wallNow() const override { return this->wall; }
 
     void advance(std::chrono::nanoseconds duration)
--- a/src/framework/global/resultcode.h
+++ b/src/framework/global/resultcode.h
@@ -38,6 +38,7 @@
     FlowDataCentreOut = 306,
     FlowAlreadyOpen = 307,
     FlowUpstreamSilent = 308,
+    FlowOvertaken = 309,
 
     // 4xx: entries of the store
     EntryMalformed = 400,
--- a/src/framework/global/systemclock.h
+++ b/src/framework/global/systemclock.h
@@ -9,6 +9,7 @@
 {
 public:
     std::chrono::steady_clock::time_point now() const override;
+    std::chrono::nanoseconds sinceBoot() const override;
     std::chrono::system_clock::time_point wallNow() const override;
 };
 }
