Follow the store through two relays a data centre

Change: module distribution. Members say in their lease's key where they pass changes on and how wide their link is. While renewals say that the store is away, nobody else calls it.

--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -4,6 +4,9 @@
 #include "app/operationspages.h"
 #include "app/packetpath.h"
 #include "app/stoppolicy.h"
+#include "distribution/changeboard.h"
+#include "distribution/fanoutstore.h"
+#include "distribution/relayserver.h"
 #include "flows/flowdirector.h"
 #include "flows/flowtable.h"
 #include "global/hash.h"
@@ -77,6 +80,14 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(drain * kUpstreamGatherPart);
 }
 
+std::optional<membership::RelayOffer> relayOffer(const settings::VmSettings &settings)
+{
+    if (!settings.relay) {
+        return std::nullopt;
+    }
+    return membership::RelayOffer{.address = *settings.relay, .mbps = settings.linkMbps};
+}
+
 flows::DirectorLimits directorLimits(const settings::VmSettings &settings)
 {
     return {.warmupOverage = settings.warmupOverage,
@@ -99,15 +110,22 @@
               return std::make_unique<net::LibeventHttpConnection>(this->loop,
                                                                    this->settings.store);
           }),
-          membership(this->store, this->loop, this->clock, this->log, this->settings.name,
-                     this->settings.dataCentre),
+          fanout(
+              this->store, this->board, this->clock, this->log,
+              [this](const net::Endpoint &relay) {
+                  return std::make_unique<net::LibeventHttpConnection>(this->loop, relay);
+              },
+              this->settings.name),
+          relayServer(this->board, this->clock),
+          membership(this->fanout, this->loop, this->clock, this->log, this->settings.name,
+                     this->settings.dataCentre, relayOffer(this->settings)),
           upstreamKeeper(this->registry, this->clock, this->log),
           routingKeeper(this->routes, this->clock, this->log), upstreamFeed(this->upstreamKeeper),
           operatorFeed(this->routingKeeper),
-          upstreamFollower(this->store, this->loop, this->upstreamFeed, platform::kUpstreamPrefix,
+          upstreamFollower(this->fanout, this->loop, this->upstreamFeed, platform::kUpstreamPrefix,
                            {.watchWait = this->settings.drain + kWatchBeyondBound,
                             .gather = gatherTime(this->settings.drain)}),
-          operatorFollower(this->store, this->loop, this->operatorFeed, platform::kOperatorPrefix,
+          operatorFollower(this->fanout, this->loop, this->operatorFeed, platform::kOperatorPrefix,
                            {.watchWait = this->settings.configuration + kWatchBeyondBound,
                             .gather = this->settings.configuration / kOperatorGatherDivisor}),
           memberPoller(this->store, this->loop, this->membership,
@@ -131,7 +149,9 @@
                   respond(this->pages.answer(request));
               }),
           supervisor("root", this->clock, this->log)
-    { }
+    {
+        this->fanout.setMembership(this->membership);
+    }
 
     void onStoreTrouble(const std::string &detail) override;
     void onStoreReturned() override;
@@ -160,6 +180,9 @@
     placement::LocalFirstPolicy policy;
     placement::WarmupPacer pacer;
     platform::StoreClient store;
+    distribution::ChangeBoard board;
+    distribution::FanoutStore fanout;
+    distribution::RelayServer relayServer;
     membership::LeaseMembership membership;
     upstreams::UpstreamKeeper upstreamKeeper;
     routing::RoutingKeeper routingKeeper;
@@ -175,6 +198,7 @@
     PacketPath packets;
     HttpComponent readiness;
     HttpComponent operations;
+    std::unique_ptr<HttpComponent> relay;
     supervision::Supervisor supervisor;
     bool wasReady = false;
     Reason reason;
@@ -182,12 +206,14 @@
 
 void VmProcess::Parts::onStoreTrouble(const std::string &detail)
 {
+    this->fanout.onStoreTrouble(detail);
     this->operatorFollower.onStoreTrouble(detail);
     this->upstreamFollower.onStoreTrouble(detail);
 }
 
 void VmProcess::Parts::onStoreReturned()
 {
+    this->fanout.onStoreReturned();
     this->operatorFollower.onStoreReturned();
     this->upstreamFollower.onStoreReturned();
 }
@@ -197,6 +223,14 @@
     this->supervisor.add(this->packets);
     this->supervisor.add(this->readiness);
     this->supervisor.add(this->operations);
+    if (this->settings.relay) {
+        this->relay = std::make_unique<HttpComponent>(
+            "relay", this->loop, *this->settings.relay,
+            [this](const net::HttpRequest &request, const net::IHttpServer::Responder &respond) {
+                this->relayServer.handle(request, respond);
+            });
+        this->supervisor.add(*this->relay);
+    }
     if (!this->supervisor.start()) {
         this->reason = this->supervisor.lastReason();
         return false;
@@ -229,6 +263,8 @@
     const auto now = this->clock.now();
     this->packets.noteAwake();
     this->upstreamKeeper.tick();
+    this->relayServer.tick();
+    this->fanout.tick();
     this->table.sweep(now, this->routes.idleTimeout());
     this->pacer.sweep(now);
     this->supervisor.supervise();
--- /dev/null
+++ b/src/distribution/fanoutstore.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "global/name.h"
+#include "net/types/endpoint.h"
+#include "store/icontactlistener.h"
+#include "store/istore.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace radishladder {
+class IClock;
+}
+namespace radishladder::membership {
+class IMembership;
+}
+namespace radishladder::net {
+class IHttpConnection;
+struct HttpResult;
+}
+namespace radishladder::telemetry {
+class IEventLog;
+}
+
+namespace radishladder::distribution {
+class ChangeBoard;
+
+//! The platform's store, whose watches go through a neighbour while that one can tell; every other
+//! call, and every watch that a neighbour fails to answer, goes to the store itself.
+class FanoutStore : public store::IStore, public store::IContactListener
+{
+public:
+    using ConnectionFactory =
+        std::function<std::unique_ptr<net::IHttpConnection>(const net::Endpoint &relay)>;
+
+    FanoutStore(store::IStore &platform, ChangeBoard &board, const IClock &clock,
+                telemetry::IEventLog &log, ConnectionFactory connect, VmName self);
+    ~FanoutStore() override;
+
+    //! Says through whom this VM may follow; without it every watch goes to the store.
+    void setMembership(const membership::IMembership &known) { this->membership = &known; }
+
+    void list(const std::string &prefix, const std::string &afterKey, store::ReadKind kind,
+              ListingHandler handler) override;
+    void watch(const std::string &prefix, std::uint64_t revision, std::chrono::milliseconds wait,
+               ListingHandler handler) override;
+    void abandon(const std::string &prefix) override;
+    void grantLease(std::chrono::milliseconds timeToLive, LeaseHandler handler) override;
+    void renewLease(std::uint64_t lease, LeaseHandler handler) override;
+    void endLease(std::uint64_t lease, StatusHandler handler) override;
+    void write(const store::StoreWrite &write, StatusHandler handler) override;
+
+    void onStoreTrouble(const std::string &detail) override;
+    void onStoreReturned() override;
+
+    //! Closes connections to neighbours that are no longer asked; call it now and then.
+    void tick();
+
+private:
+    struct Watch;
+    struct Lane
+    {
+        std::unique_ptr<net::IHttpConnection> connection;
+        std::chrono::steady_clock::time_point usedAt;
+    };
+
+    std::optional<net::Endpoint> pickRelay();
+    bool isAvoided(const net::Endpoint &relay) const;
+    void watchStore(const Watch &watch);
+    void askRelay(const net::Endpoint &relay, const Watch &watch);
+    void onRelayed(const net::Endpoint &relay, const Watch &watch, const net::HttpResult &result);
+    net::IHttpConnection &connectionTo(const net::Endpoint &relay, const std::string &prefix);
+
+    store::IStore &platform;
+    ChangeBoard &board;
+    const IClock &clock;
+    telemetry::IEventLog &log;
+    ConnectionFactory connect;
+    VmName self;
+    const membership::IMembership *membership = nullptr;
+    bool inTrouble = false;
+
+    //! Neighbours that failed, with the time until which they are not asked.
+    std::map<net::Endpoint, std::chrono::steady_clock::time_point> avoidedUntil;
+    std::map<std::pair<std::string, net::Endpoint>, Lane> lanes;
+};
+}
--- /dev/null
+++ b/src/distribution/internal/fanoutstore.cpp
@@ -0,0 +1,200 @@
+#include "distribution/fanoutstore.h"
+
+#include "distribution/changeboard.h"
+#include "distribution/relaychoice.h"
+#include "distribution/relaycodec.h"
+#include "global/iclock.h"
+#include "net/ihttpconnection.h"
+#include "net/query.h"
+#include "net/types/httprequest.h"
+#include "net/types/httpresult.h"
+#include "store/types/readkind.h"
+#include "store/types/storelease.h"
+#include "store/types/storelisting.h"
+#include "store/types/storewrite.h"
+#include "telemetry/ieventlog.h"
+#include "telemetry/types/logentry.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace radishladder::distribution {
+namespace {
+using store::StoreStatus;
+
+//! Longest time that a neighbour that is paused or cut off holds changes back.
+constexpr std::chrono::milliseconds kRelayWait{1000};
+constexpr std::chrono::milliseconds kRelayMargin{600};
+
+constexpr std::chrono::milliseconds kAvoidFailed{5000};
+
+//! Longer than any request to a neighbour takes.
+constexpr std::chrono::milliseconds kLaneIdle{10000};
+}
+
+struct FanoutStore::Watch
+{
+    std::string prefix;
+    std::uint64_t revision = 0;
+    std::chrono::milliseconds wait{0};
+    ListingHandler handler;
+};
+
+FanoutStore::FanoutStore(store::IStore &platform, ChangeBoard &board, const IClock &clock,
+                         telemetry::IEventLog &log, ConnectionFactory connect, VmName self)
+    : platform(platform), board(board), clock(clock), log(log), connect(std::move(connect)),
+      self(std::move(self))
+{ }
+
+FanoutStore::~FanoutStore() = default;
+
+void FanoutStore::list(const std::string &prefix, const std::string &afterKey, store::ReadKind kind,
+                       ListingHandler handler)
+{
+    this->platform.list(prefix, afterKey, kind, std::move(handler));
+}
+
+void FanoutStore::watch(const std::string &prefix, std::uint64_t revision,
+                        std::chrono::milliseconds wait, ListingHandler handler)
+{
+    const Watch watch{prefix, revision, wait, std::move(handler)};
+    // Who wants an answer sooner than a neighbour gives one asks whether the store is there.
+    const auto relay = wait < kRelayWait || this->inTrouble ? std::nullopt : this->pickRelay();
+    if (relay) {
+        this->askRelay(*relay, watch);
+    } else {
+        this->watchStore(watch);
+    }
+}
+
+std::optional<net::Endpoint> FanoutStore::pickRelay()
+{
+    if (this->membership == nullptr) {
+        return std::nullopt;
+    }
+    for (const net::Endpoint &relay : relaysFor(this->self, *this->membership)) {
+        if (!this->isAvoided(relay)) {
+            return relay;
+        }
+    }
+    return std::nullopt;
+}
+
+bool FanoutStore::isAvoided(const net::Endpoint &relay) const
+{
+    const auto failed = this->avoidedUntil.find(relay);
+    return failed != this->avoidedUntil.end() && this->clock.now() < failed->second;
+}
+
+void FanoutStore::watchStore(const Watch &watch)
+{
+    // From here on neighbours can be told that nothing has changed.
+    this->board.extend(watch.prefix, watch.revision, {.revision = watch.revision});
+    this->platform.watch(watch.prefix, watch.revision, watch.wait,
+                         [this, watch](const store::StoreListing &answer) {
+                             if (answer.status == StoreStatus::Ok) {
+                                 this->board.noteContact(this->clock.now());
+                                 this->board.extend(watch.prefix, watch.revision, answer);
+                             }
+                             watch.handler(answer);
+                         });
+}
+
+void FanoutStore::askRelay(const net::Endpoint &relay, const Watch &watch)
+{
+    this->board.forget(watch.prefix);
+    const net::HttpRequest request{
+        .path = "/changes",
+        .query = absl::StrCat("prefix=", net::percentEncoded(watch.prefix),
+                              "&after=", watch.revision, "&wait_ms=", kRelayWait.count()),
+        .timeout = kRelayWait + kRelayMargin};
+    this->connectionTo(relay, watch.prefix)
+        .send(request, [this, relay, watch](const net::HttpResult &result) {
+            this->onRelayed(relay, watch, result);
+        });
+}
+
+void FanoutStore::onRelayed(const net::Endpoint &relay, const Watch &watch,
+                            const net::HttpResult &result)
+{
+    auto answer = result.status == 200 ? parseRelayText(result.body) : std::nullopt;
+    if (!answer) {
+        this->avoidedUntil[relay] = this->clock.now() + kAvoidFailed;
+        this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "relay.failed")
+                            .text("relay", net::endpointText(relay))
+                            .text("prefix", watch.prefix)
+                            .number("status", result.status)
+                            .text("detail", result.reason.detail));
+        this->watchStore(watch);
+        return;
+    }
+    if (answer->verdict == RelayVerdict::AskStore) {
+        this->watchStore(watch);
+        return;
+    }
+    answer->listing.isRelayed = true;
+    watch.handler(answer->listing);
+}
+
+net::IHttpConnection &FanoutStore::connectionTo(const net::Endpoint &relay,
+                                                const std::string &prefix)
+{
+    Lane &lane = this->lanes[{prefix, relay}];
+    if (!lane.connection) {
+        lane.connection = this->connect(relay);
+    }
+    lane.usedAt = this->clock.now();
+    return *lane.connection;
+}
+
+void FanoutStore::abandon(const std::string &prefix)
+{
+    std::erase_if(this->lanes,
+                  [&prefix](const auto &entry) { return entry.first.first == prefix; });
+    this->platform.abandon(prefix);
+}
+
+void FanoutStore::grantLease(std::chrono::milliseconds timeToLive, LeaseHandler handler)
+{
+    this->platform.grantLease(timeToLive, std::move(handler));
+}
+
+void FanoutStore::renewLease(std::uint64_t lease, LeaseHandler handler)
+{
+    this->platform.renewLease(
+        lease, [this, handler = std::move(handler)](const store::StoreLease &renewed) {
+            if (renewed.status == StoreStatus::Ok) {
+                this->board.noteContact(this->clock.now());
+            }
+            handler(renewed);
+        });
+}
+
+void FanoutStore::endLease(std::uint64_t lease, StatusHandler handler)
+{
+    this->platform.endLease(lease, std::move(handler));
+}
+
+void FanoutStore::write(const store::StoreWrite &write, StatusHandler handler)
+{
+    this->platform.write(write, std::move(handler));
+}
+
+void FanoutStore::onStoreTrouble(const std::string &)
+{
+    this->inTrouble = true;
+    this->board.noteTrouble();
+}
+
+void FanoutStore::onStoreReturned()
+{
+    this->inTrouble = false;
+}
+
+void FanoutStore::tick()
+{
+    const auto now = this->clock.now();
+    std::erase_if(this->lanes,
+                  [now](const auto &entry) { return now - entry.second.usedAt > kLaneIdle; });
+    std::erase_if(this->avoidedUntil, [now](const auto &entry) { return now >= entry.second; });
+}
+}
--- /dev/null
+++ b/src/distribution/internal/relaycodec.cpp
@@ -0,0 +1,90 @@
+#include "distribution/relaycodec.h"
+
+#include "global/reason.h"
+#include "settings/jsonfile.h"
+
+#include <absl/strings/escaping.h>
+#include <json/value.h>
+
+namespace radishladder::distribution {
+namespace {
+constexpr const char *kRevision = "revision";
+constexpr const char *kAskStore = "askStore";
+constexpr const char *kChanges = "changes";
+constexpr const char *kKey = "key";
+constexpr const char *kValue = "value";
+constexpr const char *kCreated = "created";
+constexpr const char *kRemoved = "removed";
+
+Json::Value itemJson(const store::StoreItem &item)
+{
+    Json::Value json;
+    json[kKey] = item.key;
+    json[kRevision] = Json::UInt64(item.revision);
+    if (item.isRemoval) {
+        json[kRemoved] = true;
+        return json;
+    }
+    json[kValue] = absl::Base64Escape(item.value);
+    json[kCreated] = Json::UInt64(item.createdRevision);
+    return json;
+}
+
+std::optional<store::StoreItem> itemOf(const Json::Value &json)
+{
+    if (!json.isObject() || !json[kKey].isString() || !json[kRevision].isUInt64()) {
+        return std::nullopt;
+    }
+    store::StoreItem item{.key = json[kKey].asString(), .revision = json[kRevision].asUInt64()};
+    item.isRemoval = json[kRemoved].isBool() && json[kRemoved].asBool();
+    if (item.isRemoval) {
+        return item;
+    }
+    if (!json[kValue].isString() || !json[kCreated].isUInt64()
+        || !absl::Base64Unescape(json[kValue].asString(), &item.value)) {
+        return std::nullopt;
+    }
+    item.createdRevision = json[kCreated].asUInt64();
+    return item;
+}
+}
+
+std::string relayText(const RelayAnswer &answer)
+{
+    Json::Value json;
+    json[kRevision] = Json::UInt64(answer.listing.revision);
+    json[kAskStore] = answer.verdict == RelayVerdict::AskStore;
+    json[kChanges] = Json::arrayValue;
+    for (const store::StoreItem &item : answer.listing.items) {
+        json[kChanges].append(itemJson(item));
+    }
+    return settings::jsonText(json);
+}
+
+std::optional<RelayAnswer> parseRelayText(const std::string &text)
+{
+    Reason reason;
+    const auto json = settings::parseJson(text, "relay", reason);
+    if (!json || !json->isObject() || !(*json)[kRevision].isUInt64() || !(*json)[kAskStore].isBool()
+        || !(*json)[kChanges].isArray()) {
+        return std::nullopt;
+    }
+    RelayAnswer answer;
+    answer.listing.status = store::StoreStatus::Ok;
+    answer.listing.revision = (*json)[kRevision].asUInt64();
+    for (const Json::Value &entry : (*json)[kChanges]) {
+        auto item = itemOf(entry);
+        if (!item) {
+            return std::nullopt;
+        }
+        answer.listing.items.push_back(std::move(*item));
+    }
+    if ((*json)[kAskStore].asBool()) {
+        answer.verdict = RelayVerdict::AskStore;
+    } else {
+        answer.verdict =
+            answer.listing.items.empty() ? RelayVerdict::Nothing : RelayVerdict::Changes;
+    }
+    return answer;
+}
+}
--- /dev/null
+++ b/src/distribution/relayserver.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "net/ihttpserver.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace radishladder {
+class IClock;
+}
+
+namespace radishladder::distribution {
+class ChangeBoard;
+
+//! Answers neighbours that follow the store through this VM: GET /changes with "prefix", "after" (a
+//! revision) and "wait_ms"; 503 if this VM cannot tell.
+class RelayServer
+{
+public:
+    RelayServer(ChangeBoard &board, const IClock &clock);
+
+    void handle(const net::HttpRequest &request, const net::IHttpServer::Responder &respond);
+
+    //! Answers those who have waited long enough; call it a few times a second.
+    void tick() { this->answerWaiting(); }
+
+    std::size_t waitingCount() const { return this->waiting.size(); }
+
+private:
+    struct Waiting
+    {
+        std::string prefix;
+        std::uint64_t after = 0;
+        std::chrono::steady_clock::time_point until;
+        net::IHttpServer::Responder respond;
+    };
+
+    //! Texts of answers by prefix and revision, for many who ask the same.
+    using Texts = std::map<std::pair<std::string, std::uint64_t>, std::string>;
+
+    //! False if there is nothing to say yet.
+    bool tryAnswer(const Waiting &question, Texts &texts) const;
+    void answerWaiting();
+
+    ChangeBoard &board;
+    const IClock &clock;
+    std::vector<Waiting> waiting;
+};
+}
--- /dev/null
+++ b/src/distribution/tests/fakeneighbour.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "distribution/relayserver.h"
+#include "net/ieventloop.h"
+#include "net/ihttpconnection.h"
+#include "net/types/httpanswer.h"
+#include "net/types/httprequest.h"
+#include "net/types/httpresult.h"
+
+#include <memory>
+
+namespace radishladder::distribution {
+
+//! A connection to the relay of another VM in the same process; a paused VM answers nothing.
+class FakeNeighbour : public net::IHttpConnection
+{
+public:
+    FakeNeighbour(net::IEventLoop &loop, RelayServer &server, const bool &isPaused)
+        : loop(loop), server(server), isPaused(isPaused)
+    { }
+
+    void send(const net::HttpRequest &request, Handler handler) override
+    {
+        const auto pending = std::make_shared<Handler>(std::move(handler));
+        const auto finish = [pending](const net::HttpResult &result) {
+            if (*pending) {
+                const Handler once = std::move(*pending);
+                *pending = nullptr;
+                once(result);
+            }
+        };
+        this->loop.after(request.timeout, [finish]() { finish({}); });
+        if (this->isPaused) {
+            return;
+        }
+        this->server.handle(request, [this, finish](const net::HttpAnswer &answer) {
+            this->loop.after(std::chrono::milliseconds(1), [this, finish, answer]() {
+                if (!this->isPaused) {
+                    finish({.status = answer.status, .body = answer.body});
+                }
+            });
+        });
+    }
+
+private:
+    net::IEventLoop &loop;
+    RelayServer &server;
+    const bool &isPaused;
+};
+}
--- /dev/null
+++ b/src/distribution/tests/neighbourhood.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "distribution/changeboard.h"
+#include "distribution/fanoutstore.h"
+#include "distribution/relayserver.h"
+#include "fakeneighbour.h"
+#include "membership/imembership.h"
+#include "membership/types/relayoffer.h"
+#include "net/manualeventloop.h"
+#include "severablestore.h"
+#include "standins/memorystore.h"
+#include "store/iprefixlistener.h"
+#include "store/prefixfollower.h"
+#include "telemetry/ieventlog.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace radishladder::distribution {
+
+//! The VMs of one data centre, each with its own link to one store, on a manual clock.
+class Neighbourhood : public membership::IMembership, public telemetry::IEventLog
+{
+public:
+    struct Vm : public store::IPrefixListener
+    {
+        Vm(Neighbourhood &all, int number)
+            : link(all.store, all.loop),
+              fanout(
+                  link, board, all.clock, all,
+                  [&all](const net::Endpoint &relay) {
+                      return std::make_unique<FakeNeighbour>(all.loop, all.vms[relay.port]->server,
+                                                             all.vms[relay.port]->isPaused);
+                  },
+                  all.names[static_cast<std::size_t>(number)]),
+              server(board, all.clock),
+              follower(fanout, all.loop, *this, "up/", {.watchWait = std::chrono::seconds(7)})
+        {
+            this->fanout.setMembership(all);
+        }
+
+        void onSnapshot(const std::vector<store::StoreItem> &items) override
+        {
+            this->onChanges(items);
+        }
+        void onChanges(const std::vector<store::StoreItem> &items) override
+        {
+            for (const store::StoreItem &item : items) {
+                this->values[item.key] = item.value;
+            }
+        }
+        void onContactLost(const std::string &) override { }
+        void onContactRegained() override { }
+
+        std::map<std::string, std::string> values;
+        bool isPaused = false;
+        SeverableStore link;
+        ChangeBoard board;
+        FanoutStore fanout;
+        RelayServer server;
+        store::PrefixFollower follower;
+    };
+
+    explicit Neighbourhood(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            this->names.emplace_back("obuda-" + std::to_string(i));
+        }
+        for (int i = 0; i < count; ++i) {
+            this->vms.push_back(std::make_unique<Vm>(*this, i));
+            Vm &vm = *this->vms.back();
+            vm.follower.start();
+            this->loop.every(std::chrono::seconds(2), [&vm]() {
+                vm.fanout.renewLease(1, [](const store::StoreLease &) {});
+            });
+            this->loop.every(std::chrono::milliseconds(250), [&vm]() { vm.server.tick(); });
+        }
+        this->store.grantLease(std::chrono::hours(1), [](const store::StoreLease &) {});
+        this->loop.advance(std::chrono::seconds(12));
+    }
+
+    const std::vector<VmName> &members() const override { return this->names; }
+    std::optional<membership::RelayOffer> relayOf(const VmName &member) const override
+    {
+        const auto name = std::ranges::find(this->names, member);
+        const auto port = static_cast<std::uint16_t>(name - this->names.begin());
+        return membership::RelayOffer{.address = {1, port}, .mbps = 200};
+    }
+    bool isSettled() const override { return true; }
+    bool accepts(telemetry::LogKind) override { return false; }
+    void write(const telemetry::LogEntry &) override { }
+
+    ManualClock clock;
+    net::ManualEventLoop loop{this->clock};
+    standins::MemoryStore store{this->loop};
+    std::vector<VmName> names;
+    std::vector<std::unique_ptr<Vm>> vms;
+};
+}
--- /dev/null
+++ b/src/distribution/tests/relaycodectest.cpp
@@ -0,0 +1,56 @@
+#include "distribution/relaycodec.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace radishladder;
+using namespace radishladder::distribution;
+
+Test(relaycodec, what_is_written_is_read)
+{
+    rc::check([](std::uint64_t revision, const std::vector<std::string> &values) {
+        RelayAnswer answer{.verdict =
+                               values.empty() ? RelayVerdict::Nothing : RelayVerdict::Changes};
+        answer.listing.revision = revision;
+        for (const std::string &value : values) {
+            const bool isRemoval = value.empty();
+            answer.listing.items.push_back({.key = "k" + std::to_string(value.size()),
+                                            .value = value,
+                                            .revision = value.size() + 1,
+                                            .createdRevision = isRemoval ? 0 : value.size(),
+                                            .isRemoval = isRemoval});
+        }
+        const auto read = parseRelayText(relayText(answer));
+        RC_ASSERT(read.has_value());
+        RC_ASSERT(read->verdict == answer.verdict);
+        RC_ASSERT(read->listing.revision == revision);
+        RC_ASSERT(read->listing.items.size() == values.size());
+        for (std::size_t i = 0; i < values.size(); ++i) {
+            const store::StoreItem &item = read->listing.items[i];
+            RC_ASSERT(item.value == values[i]);
+            RC_ASSERT(item.key == answer.listing.items[i].key);
+            RC_ASSERT(item.revision == answer.listing.items[i].revision);
+            RC_ASSERT(item.createdRevision == answer.listing.items[i].createdRevision);
+            RC_ASSERT(item.isRemoval == answer.listing.items[i].isRemoval);
+        }
+    });
+}
+
+Test(relaycodec, anything_else_is_rejected)
+{
+    const char *const rows[] = {
+        "",
+        "[]",
+        "{}",
+        R"({"revision": "7", "askStore": false, "changes": []})",
+        R"({"revision": 7, "changes": []})",
+        R"({"revision": 7, "askStore": false, "changes": {}})",
+        R"({"revision": 7, "askStore": false, "changes": [7]})",
+        R"({"revision": 7, "askStore": false, "changes": [{"key": "a", "revision": 1}]})",
+        R"({"revision": 7, "askStore": false,
+            "changes": [{"key": "a", "revision": 1, "created": 1, "value": "%"}]})",
+    };
+    for (const char *row : rows) {
+        cr_assert_not(parseRelayText(row).has_value(), "%s", row);
+    }
+}
--- /dev/null
+++ b/src/distribution/tests/severablestore.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "net/ieventloop.h"
+#include "standins/memorystore.h"
+#include "store/types/readkind.h"
+#include "store/types/storelease.h"
+#include "store/types/storelisting.h"
+#include "store/types/storewrite.h"
+
+namespace radishladder::distribution {
+
+//! The link of one VM to the store, which can be cut; calls then fail when their time is up.
+class SeverableStore : public store::IStore
+{
+public:
+    SeverableStore(store::IStore &store, net::IEventLoop &loop) : store(store), loop(loop) { }
+
+    void list(const std::string &prefix, const std::string &afterKey, store::ReadKind kind,
+              ListingHandler handler) override
+    {
+        ++this->calls;
+        if (this->isCut) {
+            this->failLater(kCallTime, handler);
+        } else {
+            this->store.list(prefix, afterKey, kind, std::move(handler));
+        }
+    }
+    void watch(const std::string &prefix, std::uint64_t revision, std::chrono::milliseconds wait,
+               ListingHandler handler) override
+    {
+        ++this->calls;
+        if (this->isCut) {
+            this->failLater(wait + kCallTime, handler);
+            return;
+        }
+        this->store.watch(prefix, revision, wait,
+                          [this, wait, handler](const store::StoreListing &answer) {
+                              if (this->isCut) {
+                                  this->failLater(wait, handler);
+                              } else {
+                                  handler(answer);
+                              }
+                          });
+    }
+    void abandon(const std::string &) override { }
+    void grantLease(std::chrono::milliseconds, LeaseHandler) override { }
+    void renewLease(std::uint64_t lease, LeaseHandler handler) override
+    {
+        if (this->isCut) {
+            this->loop.after(kCallTime, [handler]() { handler({}); });
+        } else {
+            this->store.renewLease(lease, std::move(handler));
+        }
+    }
+    void endLease(std::uint64_t, StatusHandler) override { }
+    void write(const store::StoreWrite &, StatusHandler) override { }
+
+    bool isCut = false;
+
+    //! Lists and watches.
+    std::uint64_t calls = 0;
+
+private:
+    static constexpr std::chrono::milliseconds kCallTime{1500};
+
+    void failLater(std::chrono::milliseconds delay, const ListingHandler &handler)
+    {
+        this->loop.after(delay, [handler]() { handler({.detail = "cut"}); });
+    }
+
+    store::IStore &store;
+    net::IEventLoop &loop;
+};
+}
--- /dev/null
+++ b/src/distribution/types/relayanswer.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "store/types/storelisting.h"
+
+#include <cstdint>
+
+namespace radishladder::distribution {
+
+enum class RelayVerdict : std::uint8_t {
+    Changes, //!< the listing holds them
+    Nothing, //!< none so far
+    Unable, //!< this VM cannot tell; ask another one or the store
+    AskStore, //!< there are changes, too large to pass on
+};
+
+//! What a VM tells a neighbour that follows a prefix through it.
+struct RelayAnswer
+{
+    RelayVerdict verdict = RelayVerdict::Unable;
+    store::StoreListing listing;
+};
+}
--- a/src/flows/internal/flowdirector.cpp
+++ b/src/flows/internal/flowdirector.cpp
@@ -24,8 +24,9 @@
 constexpr int kSilentFlowsForReset = 3;
 constexpr int kRepeatsForSharedReset = 2;
 
-//! Silence after which a flow is given up on its own evidence; requests take a third of it at most.
-constexpr std::chrono::milliseconds kOwnSilence{1200};
+//! Silence after which two flows suffice; one may be silent since this VM is slow itself.
+constexpr std::chrono::milliseconds kLongSilence{1200};
+constexpr int kSilentFlowsAfterLong = 2;
 constexpr int kRepeatsForReset = 3;
 
 //! Load of a long flow between two requests, in requests.
@@ -404,7 +405,8 @@
     const auto waited = now - record.waitingSince;
     const bool manyWait = load->silentFlows >= kSilentFlowsForReset
         && record.repeats >= kRepeatsForSharedReset && waited >= kSharedSilence;
-    const bool waitsLong = record.repeats >= kRepeatsForReset && waited >= kOwnSilence;
+    const bool waitsLong = load->silentFlows >= kSilentFlowsAfterLong
+        && record.repeats >= kRepeatsForReset && waited >= kLongSilence;
     return manyWait || waitsLong;
 }
 
--- a/src/flows/tests/fakemembership.h
+++ b/src/flows/tests/fakemembership.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "membership/imembership.h"
+#include "membership/types/relayoffer.h"
 
 #include <vector>
 
@@ -11,6 +12,10 @@
 {
 public:
     const std::vector<VmName> &members() const override { return this->local; }
+    std::optional<membership::RelayOffer> relayOf(const VmName &) const override
+    {
+        return std::nullopt;
+    }
     bool isSettled() const override { return this->settled; }
 
     std::vector<VmName> local{VmName("a")};
--- a/src/membership/internal/leasemembership.cpp
+++ b/src/membership/internal/leasemembership.cpp
@@ -10,6 +10,9 @@
 #include "telemetry/ieventlog.h"
 #include "telemetry/types/logentry.h"
 
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 #include <set>
 
 namespace radishladder::membership {
@@ -31,12 +34,30 @@
 {
     return LeaseMembership::prefix(dataCentre) + vm.str();
 }
+
+//! "ADDRESS:PORT MBPS"; empty if the VM passes nothing on.
+std::string textOf(const RelayOffer &offer)
+{
+    return absl::StrCat(net::endpointText(offer.address), " ", offer.mbps);
+}
+
+std::optional<RelayOffer> offerOf(const std::string &text)
+{
+    const std::vector<std::string> parts = absl::StrSplit(text, ' ');
+    const auto address = net::parseEndpoint(parts.front());
+    RelayOffer offer{.address = address.value_or(net::Endpoint())};
+    if (!address || parts.size() != 2 || !absl::SimpleAtoi(parts.back(), &offer.mbps)) {
+        return std::nullopt;
+    }
+    return offer;
+}
 }
 
 LeaseMembership::LeaseMembership(store::IStore &store, net::IEventLoop &loop, const IClock &clock,
-                                 telemetry::IEventLog &log, VmName self, DataCentreName dataCentre)
+                                 telemetry::IEventLog &log, VmName self, DataCentreName dataCentre,
+                                 std::optional<RelayOffer> relay)
     : store(store), loop(loop), clock(clock), log(log), self(std::move(self)),
-      dataCentre(std::move(dataCentre)), current{this->self}
+      dataCentre(std::move(dataCentre)), relay(relay), current{this->self}
 { }
 
 std::string LeaseMembership::prefix(const DataCentreName &dataCentre)
@@ -67,7 +88,7 @@
 void LeaseMembership::rebuild()
 {
     std::set<VmName> names{this->self};
-    for (const auto &[name, leftAt] : this->known) {
+    for (const auto &[name, member] : this->known) {
         names.insert(name);
     }
     this->current.assign(names.begin(), names.end());
@@ -78,9 +99,15 @@
     return this->joinedAt && this->clock.now() - *this->joinedAt >= kSettleTime;
 }
 
-bool LeaseMembership::counts(TimePoint leftAt) const
+std::optional<RelayOffer> LeaseMembership::relayOf(const VmName &member) const
+{
+    const auto entry = this->known.find(member);
+    return entry == this->known.end() ? std::nullopt : entry->second.relay;
+}
+
+bool LeaseMembership::counts(const Member &member) const
 {
-    return leftAt == TimePoint::max() || this->clock.now() - leftAt < kLeaveGrace;
+    return !member.leftAt || this->clock.now() - *member.leftAt < kLeaveGrace;
 }
 
 void LeaseMembership::onSnapshot(const std::vector<store::StoreItem> &items)
@@ -89,9 +116,9 @@
     for (const store::StoreItem &item : items) {
         listed.insert(VmName(item.key.substr(item.key.rfind('/') + 1)));
     }
-    for (auto &[name, leftAt] : this->known) {
-        if (!listed.contains(name) && leftAt == TimePoint::max()) {
-            leftAt = this->clock.now();
+    for (auto &[name, member] : this->known) {
+        if (!listed.contains(name) && !member.leftAt) {
+            member.leftAt = this->clock.now();
             this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "member.left")
                                 .text("vm", name.str()));
         }
@@ -111,9 +138,10 @@
 void LeaseMembership::note(const store::StoreItem &item)
 {
     const VmName name(item.key.substr(item.key.rfind('/') + 1));
-    const auto [member, isNew] = this->known.try_emplace(name, TimePoint::max());
-    if (isNew || member->second != TimePoint::max()) {
-        member->second = TimePoint::max();
+    const auto [member, isNew] = this->known.try_emplace(name);
+    const bool hasReturned = member->second.leftAt.has_value();
+    member->second = {.relay = offerOf(item.value)};
+    if (isNew || hasReturned) {
         this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "member.joined")
                             .text("vm", name.str())
                             .number("revision", static_cast<std::int64_t>(item.revision)));
@@ -148,8 +176,9 @@
     if (this->leaving) {
         return;
     }
-    const store::StoreWrite own{
-        .key = keyOf(this->dataCentre, this->self), .value = "{}", .lease = this->lease};
+    const store::StoreWrite own{.key = keyOf(this->dataCentre, this->self),
+                                .value = this->relay ? textOf(*this->relay) : "",
+                                .lease = this->lease};
     this->store.write(own, [this](store::StoreStatus status, const std::string &detail) {
         if (status == store::StoreStatus::Missing) {
             this->acquire();
--- a/src/membership/leasemembership.h
+++ b/src/membership/leasemembership.h
@@ -2,6 +2,7 @@
 
 #include "global/name.h"
 #include "membership/imembership.h"
+#include "membership/types/member.h"
 #include "store/iprefixlistener.h"
 
 #include <chrono>
@@ -33,7 +34,8 @@
 {
 public:
     LeaseMembership(store::IStore &store, net::IEventLoop &loop, const IClock &clock,
-                    telemetry::IEventLog &log, VmName self, DataCentreName dataCentre);
+                    telemetry::IEventLog &log, VmName self, DataCentreName dataCentre,
+                    std::optional<RelayOffer> relay);
 
     //! Tells \a listener whether calls on the lease are answered.
     void watchContact(store::IContactListener &listener) { this->contactListener = &listener; }
@@ -48,6 +50,7 @@
     void leave();
 
     const std::vector<VmName> &members() const override { return this->current; }
+    std::optional<RelayOffer> relayOf(const VmName &member) const override;
     bool isSettled() const override;
 
     void onSnapshot(const std::vector<store::StoreItem> &items) override;
@@ -58,7 +61,7 @@
 private:
     using TimePoint = std::chrono::steady_clock::time_point;
 
-    bool counts(TimePoint leftAt) const;
+    bool counts(const Member &member) const;
     void rebuild();
     void note(const store::StoreItem &item);
     void acquire();
@@ -74,6 +77,7 @@
     telemetry::IEventLog &log;
     VmName self;
     DataCentreName dataCentre;
+    std::optional<RelayOffer> relay;
     std::uint64_t lease = 0;
     store::IContactListener *contactListener = nullptr;
     bool inTrouble = false;
@@ -81,8 +85,7 @@
     bool leaving = false;
     std::optional<TimePoint> joinedAt;
 
-    //! Each member with the time at which its key went; it still counts for a while.
-    std::map<VmName, TimePoint> known;
+    std::map<VmName, Member> known;
 
     //! What members() shows; built anew with each listing.
     std::vector<VmName> current;
--- a/src/settings/fieldreader.h
+++ b/src/settings/fieldreader.h
@@ -28,6 +28,7 @@
     bool booleanOr(const std::string &field, bool fallback);
     std::uint32_t address(const std::string &field);
     net::Endpoint endpoint(const std::string &field);
+    std::optional<net::Endpoint> endpointIfGiven(const std::string &field);
 
     //! Array of \a field; empty if absent and not \a required.
     const Json::Value &array(const std::string &field, bool required);
--- a/src/settings/internal/fieldreader.cpp
+++ b/src/settings/internal/fieldreader.cpp
@@ -112,6 +112,12 @@
     return parsed.value_or(net::Endpoint());
 }
 
+std::optional<net::Endpoint> FieldReader::endpointIfGiven(const std::string &field)
+{
+    return this->find(field, false) == nullptr ? std::nullopt
+                                               : std::optional(this->endpoint(field));
+}
+
 const Json::Value &FieldReader::array(const std::string &field, bool required)
 {
     static const Json::Value kEmpty(Json::arrayValue);
--- a/src/settings/internal/vmsettingsreader.cpp
+++ b/src/settings/internal/vmsettingsreader.cpp
@@ -8,6 +8,7 @@
 constexpr std::int64_t kLongestMs = 3'600'000;
 constexpr std::int64_t kLongestSeconds = 86'400;
 constexpr std::int64_t kMostMemoryMb = 1'000'000;
+constexpr double kMostMbps = 1'000'000;
 constexpr std::int64_t kMostLogLines = 100'000;
 constexpr double kMostOverage = 100;
 
@@ -30,6 +31,8 @@
         reader.numberOr("warmupOverage", 0, kMostOverage, settings.warmupOverage);
     settings.warmupSlack =
         static_cast<int>(reader.integerOr("warmupSlack", 0, kMostLogLines, settings.warmupSlack));
+    settings.linkMbps =
+        static_cast<int>(reader.numberOr("linkMbps", 0, kMostMbps, settings.linkMbps));
     settings.memoryMb =
         static_cast<int>(reader.integerOr("memoryMb", 1, kMostMemoryMb, settings.memoryMb));
     reader.rejectUnknownFields();
@@ -49,6 +52,15 @@
     if (settings.readiness == settings.operations) {
         reader.fail(ResultCode::DuplicateAddress, "operations", "is the same as readiness");
     }
+    if (!settings.relay) {
+        return;
+    }
+    if (settings.relay->port == 0) {
+        reader.fail(ResultCode::FieldRange, "relay", "has port 0");
+    }
+    if (*settings.relay == settings.readiness || *settings.relay == settings.operations) {
+        reader.fail(ResultCode::DuplicateAddress, "relay", "is the same as another address");
+    }
 }
 }
 
@@ -77,6 +89,7 @@
     settings.packets = reader.endpoint("packets");
     settings.readiness = reader.endpoint("readiness");
     settings.operations = reader.endpoint("operations");
+    settings.relay = reader.endpointIfGiven("relay");
     settings.store = reader.endpoint("store");
     settings.automaticActions = reader.booleanOr("automaticActions", true);
     settings.flowLogLines = static_cast<int>(
--- a/src/settings/types/vmsettings.h
+++ b/src/settings/types/vmsettings.h
@@ -4,6 +4,7 @@
 #include "net/types/endpoint.h"
 
 #include <chrono>
+#include <optional>
 
 namespace radishladder::settings {
 
@@ -22,6 +23,10 @@
     //! Metrics and operators' questions.
     net::Endpoint operations;
 
+    //! Passes on to the other VMs of the data centre what the store says; std::nullopt if it does
+    //! not.
+    std::optional<net::Endpoint> relay;
+
     //! The platform's store.
     net::Endpoint store;
 
@@ -45,6 +50,9 @@
     double warmupOverage = 1.5;
     int warmupSlack = 5;
 
+    //! Speed of the VM's link, in Mbit/s.
+    int linkMbps = 1000;
+
     //! Memory that the process may use, in megabytes.
     int memoryMb = 256;
 
--- a/src/store/internal/prefixfollower.cpp
+++ b/src/store/internal/prefixfollower.cpp
@@ -46,7 +46,7 @@
 {
     if (page.status != StoreStatus::Ok) {
         this->noteFailure(page);
-        this->schedule(this->retryDelay, &PrefixFollower::restart);
+        this->retryLater(&PrefixFollower::restart);
         return;
     }
     this->noteSuccess();
@@ -94,7 +94,7 @@
     }
     if (changes.status != StoreStatus::Ok) {
         this->noteFailure(changes);
-        this->schedule(this->retryDelay, &PrefixFollower::watch);
+        this->retryLater(&PrefixFollower::watch);
         return;
     }
     this->noteSuccess();
@@ -104,7 +104,8 @@
         return;
     }
     this->listener.onChanges(changes.items);
-    this->schedule(this->pacing.gather, &PrefixFollower::watch);
+    this->schedule(changes.isRelayed ? this->pacing.relayedGather : this->pacing.gather,
+                   &PrefixFollower::watch);
 }
 
 void PrefixFollower::noteSuccess()
@@ -133,6 +134,7 @@
 
 void PrefixFollower::onStoreTrouble(const std::string &detail)
 {
+    this->inTrouble = true;
     if (this->synchronized && this->contact) {
         this->loseContact(detail);
     }
@@ -140,6 +142,7 @@
 
 void PrefixFollower::onStoreReturned()
 {
+    this->inTrouble = false;
     this->alive = std::make_shared<int>(0);
     this->store.abandon(this->prefix);
     this->retryDelay = this->pacing.firstRetry;
@@ -150,6 +153,15 @@
     }
 }
 
+void PrefixFollower::retryLater(void (PrefixFollower::*step)())
+{
+    // Load pattern: all VMs call a store that refuses or is silent. Renewals of leases, which cost
+    // a tenth, find out when it is back.
+    if (!this->inTrouble) {
+        this->schedule(this->retryDelay, step);
+    }
+}
+
 void PrefixFollower::schedule(std::chrono::milliseconds delay, void (PrefixFollower::*step)())
 {
     this->loop.after(delay, [this, step, guard = std::weak_ptr<int>(this->alive)]() {
--- a/src/store/prefixfollower.h
+++ b/src/store/prefixfollower.h
@@ -47,6 +47,7 @@
     void noteSuccess();
     void noteFailure(const StoreListing &answer);
     void loseContact(const std::string &detail);
+    void retryLater(void (PrefixFollower::*step)());
     void schedule(std::chrono::milliseconds delay, void (PrefixFollower::*step)());
     void restart();
 
@@ -58,6 +59,9 @@
     std::uint64_t seenRevision = 0;
     bool synchronized = false;
     bool contact = true;
+
+    //! Said to be in trouble, and not yet to be back.
+    bool inTrouble = false;
     std::chrono::milliseconds retryDelay;
     std::vector<StoreItem> pages;
     std::uint64_t firstPageRevision = 0;
--- a/src/store/tests/prefixfollowertest.cpp
+++ b/src/store/tests/prefixfollowertest.cpp
@@ -126,6 +126,24 @@
     }
 }
 
+Test(prefixfollower, a_store_known_to_be_in_trouble_is_not_called_until_it_is_said_to_be_back)
+{
+    Fixture f;
+    f.start();
+    f.store.setMode(MemoryStore::Mode::Refusing);
+    f.store.put("up/a", "during");
+    f.follower.onStoreTrouble("renewal refused");
+    f.loop.advance(2s);
+    const std::uint64_t before = f.store.calls();
+    f.loop.advance(20s);
+    cr_assert_eq(f.store.calls(), before);
+    f.store.setMode(MemoryStore::Mode::Serving);
+    f.follower.onStoreReturned();
+    f.loop.advance(100ms);
+    cr_assert(f.listener.values["up/a"] == "during");
+    cr_assert_eq(f.listener.lost, f.listener.regained);
+}
+
 Test(prefixfollower, a_watch_swallowed_in_a_short_silence_ends_within_its_wait)
 {
     // Replays a second of silence that no renewal noticed; nothing tells the follower but the end
--- a/src/store/types/followerpacing.h
+++ b/src/store/types/followerpacing.h
@@ -13,6 +13,9 @@
     //! Pause after an answer, so that changes in quick succession arrive with one call.
     std::chrono::milliseconds gather{300};
 
+    //! The same after an answer that a neighbour passed on, which has gathered changes already.
+    std::chrono::milliseconds relayedGather{200};
+
     //! Pause after the first failed call; doubles up to longestRetry.
     std::chrono::milliseconds firstRetry{100};
     std::chrono::milliseconds longestRetry{800};
--- a/src/store/types/storelisting.h
+++ b/src/store/types/storelisting.h
@@ -21,6 +21,9 @@
     //! More items follow behind the last one.
     bool hasMore = false;
 
+    //! A neighbour passed it on; it cost no call to the store.
+    bool isRelayed = false;
+
     //! Why there is no listing.
     std::string detail;
 };
