Fuzz what the store and relays answer, and log why flows ended apart from placements

Change: platform/storeanswers reads them; the fuzz target takes them and a relay's. Lines that end a flow have a budget of their own; the test failed before.

--- a/src/app/packetpath.cpp
+++ b/src/app/packetpath.cpp
@@ -20,6 +20,12 @@
 //! How often held packets are looked at while this VM starts.
 constexpr std::chrono::milliseconds kHeldCheck{5};
 
+telemetry::LogKind kindOf(const flows::FlowDecision &decision)
+{
+    return decision.action == flows::FlowAction::Reset ? telemetry::LogKind::FlowEnd
+                                                       : telemetry::LogKind::Flow;
+}
+
 std::string_view eventOf(const flows::FlowDecision &decision)
 {
     switch (decision.action) {
@@ -121,7 +127,7 @@
         this->reset(*packet);
     }
     const bool isRoutine = decision.action == flows::FlowAction::Forward && !decision.isPlacement;
-    if (!isRoutine && this->log.accepts(telemetry::LogKind::Flow)) {
+    if (!isRoutine && this->log.accepts(kindOf(decision))) {
         this->report(*packet, decision);
     }
 }
@@ -149,7 +155,7 @@
 
 void PacketPath::report(const flows::FlowPacket &packet, const flows::FlowDecision &decision)
 {
-    telemetry::LogEntry entry(telemetry::LogKind::Flow, eventOf(decision));
+    telemetry::LogEntry entry(kindOf(decision), eventOf(decision));
     entry.text("caller", net::endpointText(packet.flow.caller))
         .text("service", net::endpointText(packet.flow.service))
         .number("copy", packet.opens ? packet.acknowledged : 0)
--- a/src/framework/telemetry/boundedeventlog.h
+++ b/src/framework/telemetry/boundedeventlog.h
@@ -20,7 +20,8 @@
 class BoundedEventLog : public IEventLog
 {
 public:
-    //! \a flowLinesPerSecond bounds lines of LogKind::Flow; \a bufferBytes bounds all kinds.
+    //! \a flowLinesPerSecond bounds lines of LogKind::Flow, and again those of LogKind::FlowEnd; \a
+    //! bufferBytes bounds all kinds.
     BoundedEventLog(const IClock &clock, ILogSink &sink, int flowLinesPerSecond,
                     std::size_t bufferBytes);
 
@@ -37,6 +38,8 @@
     std::uint64_t leftOut() const { return this->totalLeftOut; }
 
 private:
+    //! Lines of \a kind that may still be written this second; null for kinds without a bound.
+    int *budgetOf(LogKind kind);
     void renewBudget();
     void append(const LogEntry &entry);
 
@@ -44,7 +47,8 @@
     ILogSink &sink;
     int flowLinesPerSecond;
     std::size_t bufferBytes;
-    int budget;
+    int flowBudget;
+    int flowEndBudget;
     std::chrono::steady_clock::time_point budgetSince;
     std::string buffer;
     std::deque<std::string> recent;
--- a/src/framework/telemetry/internal/boundedeventlog.cpp
+++ b/src/framework/telemetry/internal/boundedeventlog.cpp
@@ -15,13 +15,14 @@
 BoundedEventLog::BoundedEventLog(const IClock &clock, ILogSink &sink, int flowLinesPerSecond,
                                  std::size_t bufferBytes)
     : clock(clock), sink(sink), flowLinesPerSecond(flowLinesPerSecond), bufferBytes(bufferBytes),
-      budget(flowLinesPerSecond), budgetSince(clock.now())
+      flowBudget(flowLinesPerSecond), flowEndBudget(flowLinesPerSecond), budgetSince(clock.now())
 { }
 
 bool BoundedEventLog::accepts(LogKind kind)
 {
     this->renewBudget();
-    if (this->buffer.size() < this->bufferBytes && (kind == LogKind::State || this->budget > 0)) {
+    const int *budget = this->budgetOf(kind);
+    if (this->buffer.size() < this->bufferBytes && (budget == nullptr || *budget > 0)) {
         return true;
     }
     ++this->unreported;
@@ -34,8 +35,8 @@
     if (!this->accepts(entry.kind())) {
         return;
     }
-    if (entry.kind() == LogKind::Flow) {
-        --this->budget;
+    if (int *budget = this->budgetOf(entry.kind())) {
+        --*budget;
     }
     this->append(entry);
 }
@@ -56,12 +57,26 @@
     }
 }
 
+int *BoundedEventLog::budgetOf(LogKind kind)
+{
+    switch (kind) {
+    case LogKind::Flow:
+        return &this->flowBudget;
+    case LogKind::FlowEnd:
+        return &this->flowEndBudget;
+    case LogKind::State:
+        break;
+    }
+    return nullptr;
+}
+
 void BoundedEventLog::renewBudget()
 {
     const auto now = this->clock.now();
     if (now - this->budgetSince >= kBudgetPeriod) {
         this->budgetSince = now;
-        this->budget = this->flowLinesPerSecond;
+        this->flowBudget = this->flowLinesPerSecond;
+        this->flowEndBudget = this->flowLinesPerSecond;
     }
 }
 
--- a/src/framework/telemetry/tests/boundedeventlogtest.cpp
+++ b/src/framework/telemetry/tests/boundedeventlogtest.cpp
@@ -46,6 +46,21 @@
 };
 }
 
+Test(boundedeventlog, placements_do_not_crowd_out_the_line_that_says_why_a_flow_ended)
+{
+    // Replays a paused VM that woke to a queue of first packets and reset one open flow in the same
+    // second.
+    Fixture f;
+    f.writeFlows(50);
+    f.log.write(LogEntry(LogKind::FlowEnd, "flow.reset"));
+    f.log.flush();
+    cr_assert(f.sink.text.find("flow.reset") != std::string::npos);
+    for (int i = 0; i < 50; ++i) {
+        f.log.write(LogEntry(LogKind::FlowEnd, "flow.reset"));
+    }
+    cr_assert_eq(f.log.leftOut(), 40U + 41U);
+}
+
 Test(boundedeventlog, flow_lines_keep_to_their_budget_and_the_rest_is_counted)
 {
     Fixture f;
--- a/src/framework/telemetry/types/logentry.h
+++ b/src/framework/telemetry/types/logentry.h
@@ -11,6 +11,7 @@
 enum class LogKind : std::uint8_t {
     State, //!< changes what the process believes or is: few, kept as long as the buffer has room
     Flow, //!< a decision on one flow: many, bounded by a budget a second
+    FlowEnd, //!< a decision that ends a flow: as Flow, but placements cannot crowd it out
 };
 
 //! One line of the structured log: a JSON object that is built field by field.
--- a/tools/fuzz/fuzzplatform.cpp
+++ b/tools/fuzz/fuzzplatform.cpp
@@ -1,8 +1,13 @@
+#include "distribution/relaycodec.h"
+#include "net/types/httpresult.h"
 #include "platform/configurationdecoder.h"
 #include "platform/echopacketcodec.h"
 #include "platform/entrydecoder.h"
+#include "platform/storeanswers.h"
 #include "settings/vmsettingsreader.h"
 #include "store/types/storeitem.h"
+#include "store/types/storelease.h"
+#include "store/types/storelisting.h"
 
 #include <algorithm>
 #include <array>
@@ -31,6 +36,20 @@
         std::abort();
     }
 }
+
+//! An answer that cannot be read must not count as one without items.
+void fuzzStoreAnswer(const std::string &text)
+{
+    const net::HttpResult result{.status = 200, .body = text};
+    for (const auto kind : {platform::ListingKind::Page, platform::ListingKind::Changes}) {
+        const store::StoreListing listing = platform::listingOf(result, kind);
+        if (listing.status != store::StoreStatus::Ok && !listing.items.empty()) {
+            std::abort();
+        }
+    }
+    platform::leaseOf(result, 0);
+    distribution::parseRelayText(text);
+}
 }
 
 // NOLINTNEXTLINE(readability-identifier-naming): the fuzzer looks for this name.
@@ -42,5 +61,6 @@
     platform::EntryDecoder().decode({.key = "servers/i-1", .value = text});
     platform::ConfigurationDecoder().decode(text);
     settings::VmSettingsReader().parse(text, "fuzz");
+    fuzzStoreAnswer(text);
     return 0;
 }
