Check configuration and warm-up in the soak, slow the store, and give VMs relays

Cause: docs/PROOFS.md listed versions and rates of cold upstreams as not checked by the soak; runs of the usual size have too few VMs a data centre for relays. Change: callers also ask for routes that come and go; an upstream that takes a first packet of a route removed longer ago than the bound, or more of them in a second than a cold one bears, breaks a promise. The store may be slow. VMs have relays.

--- a/tools/radishbench/addresses.h
+++ b/tools/radishbench/addresses.h
@@ -15,6 +15,7 @@
     static constexpr std::uint16_t kPackets = 18172;
     static constexpr std::uint16_t kReadiness = 18167;
     static constexpr std::uint16_t kOperations = 17720;
+    static constexpr std::uint16_t kRelay = 17735;
     static constexpr std::uint16_t kUpstream = 18080;
     static constexpr std::uint16_t kStore = 18169;
 
--- /dev/null
+++ b/tools/radishbench/publishedroutes.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace radishladder::radishbench {
+
+//! Which ports the configurations of a run allowed, and until when.
+class PublishedRoutes
+{
+public:
+    using TimePoint = std::chrono::steady_clock::time_point;
+
+    //! The store acknowledged a configuration with routes at \a ports.
+    void publish(const std::vector<std::uint16_t> &ports, TimePoint now);
+
+    //! When the route at \a port was removed, the start of the run if it never was there;
+    //! std::nullopt while it is there.
+    std::optional<TimePoint> removedAt(std::uint16_t port) const;
+
+private:
+    //! std::nullopt while the route is there.
+    std::map<std::uint16_t, std::optional<TimePoint>> routes;
+};
+}
--- a/tools/radishbench/upstreamhost.h
+++ b/tools/radishbench/upstreamhost.h
@@ -5,6 +5,7 @@
 #include "platform/standins/documents.h"
 
 #include <chrono>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <span>
@@ -25,6 +26,7 @@
 namespace radishladder::radishbench {
 class Verdicts;
 class Calm;
+class PublishedRoutes;
 
 //! An upstream as the platform describes it: accepts flows, answers requests straight to callers,
 //! and checks that it gets only what is meant for it.
@@ -34,7 +36,8 @@
     using TimePoint = std::chrono::steady_clock::time_point;
 
     UpstreamHost(net::IEventLoop &loop, standins::MemoryStore &store, Verdicts &verdicts,
-                 platform::EntryText entry, net::Endpoint callerPort, const Calm &calm);
+                 platform::EntryText entry, net::Endpoint callerPort, const Calm &calm,
+                 const PublishedRoutes &routes);
     ~UpstreamHost();
 
     //! Opens its socket and writes its entry; false if the address is taken.
@@ -43,10 +46,10 @@
     //! Says that it leaves; it goes on serving its flows.
     void drain();
 
-    //! Ends without a word; its entry goes after \a lapse.
     //! Operators took its data centre out at \a since.
     void setOut(std::optional<TimePoint> since) { this->outSince = since; }
 
+    //! Ends without a word; its entry goes after \a lapse.
     void crash(std::chrono::milliseconds lapse);
 
     //! Ends after it has drained.
@@ -69,6 +72,8 @@
     void receive();
     void handle(std::span<const std::uint8_t> datagram, std::uint32_t vmAddress);
     void accept(const platform::WirePacket &packet, std::uint32_t vmAddress);
+    void checkChanges(const platform::WirePacket &packet, std::uint32_t vmAddress, TimePoint now);
+    void checkWarmup(TimePoint now);
     std::string lateFlow(std::uint32_t vmAddress, TimePoint change) const;
     void serve(const platform::WirePacket &packet);
     void send(const platform::WirePacket &packet);
@@ -80,8 +85,13 @@
     platform::EntryText entry;
     net::Endpoint callerPort;
     const Calm &calm;
+    const PublishedRoutes &routes;
     std::unique_ptr<net::BatchSocket> socket;
     TimePoint drainedAt;
+    TimePoint coldUntil;
+
+    //! First packets of the last second while it was cold.
+    std::deque<TimePoint> coldOpenings;
     std::optional<TimePoint> outSince;
     std::unordered_map<flows::FlowKey, Flow> flows;
     std::shared_ptr<int> alive = std::make_shared<int>(0);
--- a/tools/radishbench/world.h
+++ b/tools/radishbench/world.h
@@ -38,6 +38,7 @@
 private:
     bool setUp();
     void openFlows();
+    int pickService();
     void probeAll();
     void watchProcesses();
     bool deliver(const flows::FlowKey &flow, std::span<const std::uint8_t> datagram);
--- a/tools/soak/randomfaults.cpp
+++ b/tools/soak/randomfaults.cpp
@@ -23,6 +23,7 @@
     PauseVm,
     RefuseCalls,
     SilentStore,
+    SlowStore,
     ForgottenHistory,
     BrokenLink,
     ReplacedUpstream,
@@ -31,6 +32,18 @@
     Evacuation,
     Count,
 };
+
+const char *nameOf(standins::StoreMode mode)
+{
+    switch (mode) {
+    case standins::StoreMode::Silent:
+        return "fault: store silent";
+    case standins::StoreMode::Slow:
+        return "fault: store slow";
+    default:
+        return "fault: store refuses";
+    }
+}
 }
 
 RandomFaults::RandomFaults() = default;
@@ -94,6 +107,9 @@
     case Fault::SilentStore:
         this->troubleStore(standins::StoreMode::Silent);
         break;
+    case Fault::SlowStore:
+        this->troubleStore(standins::StoreMode::Slow);
+        break;
     case Fault::ForgottenHistory:
         this->world->results.count("fault: history dropped");
         this->world->store.compact();
@@ -142,8 +158,7 @@
     if (this->world->pick(kStoreTroubleOneIn) != 0) {
         return;
     }
-    this->world->results.count(mode == standins::StoreMode::Silent ? "fault: store silent"
-                                                                   : "fault: store refuses");
+    this->world->results.count(nameOf(mode));
     this->disturb(
         radishbench::Calm::kEverybody, milliseconds(500 + this->world->pick(5000)),
         [this, mode]() { this->world->store.setMode(mode); },
@@ -208,13 +223,8 @@
 {
     this->world->results.count("fault: configuration");
     this->configurationVersion += 1 + static_cast<int>(this->world->pick(3));
-    std::vector<platform::RouteText> routes{{this->world->addresses.service(0), "portal"},
-                                            {this->world->addresses.service(1), "intake"}};
-    for (std::size_t i = 0; i < this->world->pick(20); ++i) {
-        routes.push_back({this->world->addresses.service(static_cast<int>(10 + 2 * i)), "portal"});
-    }
-    this->world->store.put(platform::configurationKey(),
-                           platform::configurationValue(this->configurationVersion, routes));
+    this->world->configure(this->configurationVersion,
+                           static_cast<int>(this->world->pick(radishbench::kMostExtraRoutes)));
 }
 
 void RandomFaults::evacuate()
