Bound the neighbours of a relay and count control traffic apart from packets

Change: one relay for 16 members, two at least; bytes to and from the store and neighbours are gauges, and stand in the line that a stopped process writes.

--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -15,8 +15,10 @@
 #include "membership/leasemembership.h"
 #include "net/libeventhttpconnection.h"
 #include "net/libeventloop.h"
+#include "net/meteredconnection.h"
 #include "net/types/httpanswer.h"
 #include "net/types/httprequest.h"
+#include "net/types/trafficmeter.h"
 #include "placement/localfirstpolicy.h"
 #include "placement/warmuppacer.h"
 #include "platform/echopacketcodec.h"
@@ -106,15 +108,10 @@
                  ^ static_cast<std::uint64_t>(this->clock.now().time_since_epoch().count())),
           log(this->clock, this->sink, this->settings.flowLogLines, kLogBufferBytes),
           registry(this->settings.flowMax), table(flowCapacity(this->settings)),
-          policy(this->random), store([this]() {
-              return std::make_unique<net::LibeventHttpConnection>(this->loop,
-                                                                   this->settings.store);
-          }),
+          policy(this->random), store([this]() { return this->connect(this->settings.store); }),
           fanout(
               this->store, this->board, this->clock, this->log,
-              [this](const net::Endpoint &relay) {
-                  return std::make_unique<net::LibeventHttpConnection>(this->loop, relay);
-              },
+              [this](const net::Endpoint &relay) { return this->connect(relay); },
               this->settings.name),
           relayServer(this->board, this->clock),
           membership(this->fanout, this->loop, this->clock, this->log, this->settings.name,
@@ -156,8 +153,13 @@
     void onStoreTrouble(const std::string &detail) override;
     void onStoreReturned() override;
 
+    //! A connection whose bytes count as control traffic.
+    std::unique_ptr<net::IHttpConnection> connect(const net::Endpoint &server);
+
     bool start();
+    void startRelay();
     void watchSignals();
+    void publishGauges();
     void tick();
     void noteReadiness();
     bool isReady() const;
@@ -174,6 +176,8 @@
     telemetry::DescriptorSink sink{STDOUT_FILENO};
     telemetry::BoundedEventLog log;
     telemetry::PrometheusMetrics metrics;
+    net::TrafficMeter control;
+    std::chrono::steady_clock::time_point startedAt;
     routing::RouteTable routes;
     upstreams::UpstreamRegistry registry;
     flows::FlowTable table;
@@ -220,17 +224,11 @@
 
 bool VmProcess::Parts::start()
 {
+    this->startedAt = this->clock.now();
     this->supervisor.add(this->packets);
     this->supervisor.add(this->readiness);
     this->supervisor.add(this->operations);
-    if (this->settings.relay) {
-        this->relay = std::make_unique<HttpComponent>(
-            "relay", this->loop, *this->settings.relay,
-            [this](const net::HttpRequest &request, const net::IHttpServer::Responder &respond) {
-                this->relayServer.handle(request, respond);
-            });
-        this->supervisor.add(*this->relay);
-    }
+    this->startRelay();
     if (!this->supervisor.start()) {
         this->reason = this->supervisor.lastReason();
         return false;
@@ -250,6 +248,28 @@
     return true;
 }
 
+std::unique_ptr<net::IHttpConnection> VmProcess::Parts::connect(const net::Endpoint &server)
+{
+    auto connection = std::make_unique<net::LibeventHttpConnection>(this->loop, server);
+    return std::make_unique<net::MeteredConnection>(std::move(connection), this->control);
+}
+
+void VmProcess::Parts::startRelay()
+{
+    if (!this->settings.relay) {
+        return;
+    }
+    this->relay = std::make_unique<HttpComponent>(
+        "relay", this->loop, *this->settings.relay,
+        [this](const net::HttpRequest &request, const net::IHttpServer::Responder &respond) {
+            this->relayServer.handle(request, [this, respond](const net::HttpAnswer &answer) {
+                this->control.sent += answer.body.size();
+                respond(answer);
+            });
+        });
+    this->supervisor.add(*this->relay);
+}
+
 void VmProcess::Parts::watchSignals()
 {
     std::signal(SIGPIPE, SIG_IGN);
@@ -269,8 +289,7 @@
     this->pacer.sweep(now);
     this->supervisor.supervise();
     this->noteReadiness();
-    this->metrics.gauge("store_calls").set(static_cast<double>(this->store.calls()));
-    this->metrics.gauge("log_lines_left_out").set(static_cast<double>(this->log.leftOut()));
+    this->publishGauges();
     this->log.flush();
     if (!this->supervisor.isHealthy()) {
         this->reason = this->supervisor.lastReason();
@@ -278,6 +297,16 @@
     }
 }
 
+void VmProcess::Parts::publishGauges()
+{
+    this->metrics.gauge("store_calls").set(static_cast<double>(this->store.calls()));
+    this->metrics.gauge("control_sent_bytes").set(static_cast<double>(this->control.sent));
+    this->metrics.gauge("control_received_bytes").set(static_cast<double>(this->control.received));
+    this->metrics.gauge("relay_followers")
+        .set(static_cast<double>(this->relayServer.waitingCount()));
+    this->metrics.gauge("log_lines_left_out").set(static_cast<double>(this->log.leftOut()));
+}
+
 bool VmProcess::Parts::isReady() const
 {
     return this->director.isReady() && !this->stopPolicy.isStopping();
@@ -321,8 +350,16 @@
 void VmProcess::Parts::endWhenQuiet()
 {
     if (this->stopPolicy.mayEnd(this->packets.lastPacket(), this->clock.now())) {
-        this->log.write(LogEntry(LogKind::State, "process.stopped")
-                            .number("flows", static_cast<std::int64_t>(this->table.size())));
+        const auto uptime = std::chrono::duration_cast<std::chrono::milliseconds>(
+            this->clock.now() - this->startedAt);
+        this->log.write(
+            LogEntry(LogKind::State, "process.stopped")
+                .number("flows", static_cast<std::int64_t>(this->table.size()))
+                .duration("uptime_ms", uptime)
+                .number("store_calls", static_cast<std::int64_t>(this->store.calls()))
+                .number("control_sent_bytes", static_cast<std::int64_t>(this->control.sent))
+                .number("control_received_bytes",
+                        static_cast<std::int64_t>(this->control.received)));
         this->loop.stop();
     }
 }
--- a/src/distribution/internal/relaychoice.cpp
+++ b/src/distribution/internal/relaychoice.cpp
@@ -12,7 +12,10 @@
 constexpr std::size_t kLeastMembers = 6;
 
 //! Two, so that the loss of one sends only half of its neighbours to the store for a while.
-constexpr std::size_t kRelays = 2;
+constexpr std::size_t kLeastRelays = 2;
+
+//! Bounds what one relay sends.
+constexpr std::size_t kMembersPerRelay = 16;
 
 //! A release in a large service takes a tenth of such a link for the neighbours of one relay.
 constexpr int kLeastMbps = 50;
@@ -48,15 +51,17 @@
 std::vector<net::Endpoint> relaysFor(const VmName &self, const membership::IMembership &membership)
 {
     std::vector<Candidate> relays = candidatesOf(membership);
-    if (membership.members().size() < kLeastMembers || relays.size() < kRelays) {
+    if (membership.members().size() < kLeastMembers || relays.size() < kLeastRelays) {
         return {};
     }
     sortByScore(relays, kRelaySalt);
-    relays.resize(kRelays);
+    const std::size_t wanted = membership.members().size() / kMembersPerRelay;
+    relays.resize(std::clamp(wanted, kLeastRelays, relays.size()));
     if (std::ranges::find(relays, self, &Candidate::name) != relays.end()) {
         return {};
     }
     sortByScore(relays, hash64(self.str()));
+    relays.resize(kLeastRelays);
     std::vector<net::Endpoint> addresses;
     for (const Candidate &relay : relays) {
         addresses.push_back(relay.offer.address);
--- /dev/null
+++ b/src/framework/net/tests/meteredconnectiontest.cpp
@@ -0,0 +1,34 @@
+#include "net/meteredconnection.h"
+
+#include "net/types/httprequest.h"
+#include "net/types/httpresult.h"
+#include "net/types/trafficmeter.h"
+
+#include <criterion/criterion.h>
+
+using namespace radishladder::net;
+
+namespace {
+class FakeConnection : public IHttpConnection
+{
+public:
+    void send(const HttpRequest &, Handler handler) override
+    {
+        handler({.status = 200, .body = "12345"});
+    }
+};
+}
+
+Test(meteredconnection, counts_targets_and_bodies_both_ways)
+{
+    TrafficMeter meter;
+    MeteredConnection connection(std::make_unique<FakeConnection>(), meter);
+    int answers = 0;
+    for (int i = 0; i < 3; ++i) {
+        connection.send({.path = "/a", .query = "b=1", .body = "xy"},
+                        [&answers](const HttpResult &) { ++answers; });
+    }
+    cr_assert_eq(answers, 3);
+    cr_assert_eq(meter.sent, 21U);
+    cr_assert_eq(meter.received, 15U);
+}
