Freeze the fleet or a data centre by one command

Change: module switches reads 'switches/freeze' and 'switches/freeze/DATA CENTRE' by stale polls every 5 s; radishctl freeze and thaw write them. An outage or an unreadable value changes nothing.

--- a/src/app/operationspages.cpp
+++ b/src/app/operationspages.cpp
@@ -106,7 +106,7 @@
     json["configuration"] = Json::UInt64(this->routes.version());
     json["routes"] = Json::UInt64(this->routes.size());
     json["flows"] = Json::UInt64(this->table.size());
-    json["automaticActions"] = this->settings.automaticActions;
+    json["automaticActions"] = this->director.judgesSilence();
     json["out"] = Json::arrayValue;
     for (const DataCentreName &dataCentre : this->routes.evacuated()) {
         json["out"].append(dataCentre.str());
--- a/src/app/radishctl.cpp
+++ b/src/app/radishctl.cpp
@@ -1,3 +1,4 @@
+#include "app/freezecommand.h"
 #include "operations/reports.h"
 #include "operations/vmquery.h"
 #include "settings/configurationdiff.h"
@@ -18,6 +19,8 @@
 ABSL_FLAG(std::string, vms, "", "operations addresses of the VMs, ADDRESS:PORT,...");
 ABSL_FLAG(std::string, caller, "", "flow: ADDRESS:PORT of the caller");
 ABSL_FLAG(std::string, service, "", "flow: ADDRESS:PORT of the service");
+ABSL_FLAG(std::string, store, "", "freeze, thaw: ADDRESS:PORT of the platform's store");
+ABSL_FLAG(std::string, data_centre, "", "freeze, thaw: one data centre; the whole fleet if empty");
 ABSL_FLAG(absl::Duration, timeout, absl::Seconds(2), "longest wait for a VM's answer");
 
 namespace {
@@ -26,7 +29,8 @@
 constexpr const char *kUsage =
     "Operators' command line of the radishladder load balancer.\n"
     "radishctl check | diff          offline, on base file and overlays\n"
-    "radishctl status | upstreams | flow | timeline   asks the VMs";
+    "radishctl status | upstreams | flow | timeline   asks the VMs\n"
+    "radishctl freeze | thaw         automatic actions, in the platform's store";
 
 int fail(const Reason &reason)
 {
@@ -116,6 +120,25 @@
     }
     return 0;
 }
+
+int freeze(bool isFrozen)
+{
+    const auto store = net::parseEndpoint(absl::GetFlag(FLAGS_store));
+    if (!store) {
+        return badUsage("--store ADDRESS:PORT is required");
+    }
+    std::optional<DataCentreName> scope;
+    if (!absl::GetFlag(FLAGS_data_centre).empty()) {
+        scope = DataCentreName(absl::GetFlag(FLAGS_data_centre));
+    }
+    const Reason reason = app::writeFreeze(*store, scope, isFrozen);
+    if (reason.code != ResultCode::Ok) {
+        return fail(reason);
+    }
+    std::cout << "ok: automatic actions are " << (isFrozen ? "frozen" : "on") << " in "
+              << (scope ? scope->str() : "all data centres") << " within some seconds\n";
+    return 0;
+}
 }
 
 int main(int argc, char **argv)
@@ -132,5 +155,9 @@
     if (verb == "status" || verb == "upstreams" || verb == "flow" || verb == "timeline") {
         return ask(verb);
     }
-    return badUsage("the verb is none of check, diff, status, upstreams, flow, timeline");
+    if (verb == "freeze" || verb == "thaw") {
+        return freeze(verb == "freeze");
+    }
+    return badUsage(
+        "the verb is none of check, diff, status, upstreams, flow, timeline, freeze, thaw");
 }
--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -32,6 +32,7 @@
 #include "store/prefixfollower.h"
 #include "store/prefixpoller.h"
 #include "supervision/supervisor.h"
+#include "switches/freezeswitch.h"
 #include "telemetry/boundedeventlog.h"
 #include "telemetry/descriptorsink.h"
 #include "telemetry/igauge.h"
@@ -71,6 +72,9 @@
 //! Membership only bounds who warms up an upstream, where two may err at once.
 constexpr std::chrono::milliseconds kMemberPeriod{2500};
 
+//! Operators who freeze the fleet can wait for so long.
+constexpr std::chrono::milliseconds kSwitchPeriod{5000};
+
 std::size_t flowCapacity(const settings::VmSettings &settings)
 {
     const std::size_t bytes = static_cast<std::size_t>(settings.memoryMb) * 1024 * 1024;
@@ -90,12 +94,12 @@
     return membership::RelayOffer{.address = *settings.relay, .mbps = settings.linkMbps};
 }
 
-flows::DirectorLimits directorLimits(const settings::VmSettings &settings)
+flows::DirectorLimits directorLimits(const settings::VmSettings &settings, bool isFrozen)
 {
     return {.warmupOverage = settings.warmupOverage,
             .warmupSlack = settings.warmupSlack,
             .evacuationGrace = settings.evacuation * 3 / 5,
-            .judgeSilence = settings.automaticActions};
+            .judgeSilence = settings.automaticActions && !isFrozen};
 }
 
 }
@@ -128,9 +132,12 @@
           memberPoller(this->store, this->loop, this->membership,
                        membership::LeaseMembership::prefix(this->settings.dataCentre),
                        kMemberPeriod),
+          freeze(this->settings.dataCentre, this->log),
+          freezePoller(this->store, this->loop, this->freeze, switches::FreezeSwitch::prefix(),
+                       kSwitchPeriod),
           director(this->routes, this->registry, this->membership, this->table, this->policy,
                    this->pacer, this->settings.name, this->settings.dataCentre,
-                   directorLimits(this->settings)),
+                   directorLimits(this->settings, false)),
           stopPolicy(this->settings.stop),
           pages(this->settings, this->clock, this->routes, this->registry, this->membership,
                 this->table, this->director, this->metrics, this->log),
@@ -160,6 +167,7 @@
     void startRelay();
     void watchSignals();
     void publishGauges();
+    void applyLimits();
     void tick();
     void noteReadiness();
     bool isReady() const;
@@ -195,6 +203,8 @@
     store::PrefixFollower upstreamFollower;
     store::PrefixFollower operatorFollower;
     store::PrefixPoller memberPoller;
+    switches::FreezeSwitch freeze;
+    store::PrefixPoller freezePoller;
     flows::FlowDirector director;
     platform::EchoPacketCodec codec;
     StopPolicy stopPolicy;
@@ -236,6 +246,7 @@
     this->operatorFollower.start();
     this->upstreamFollower.start();
     this->memberPoller.start();
+    this->freezePoller.start();
     this->membership.watchContact(*this);
     this->membership.join();
     this->watchSignals();
@@ -285,6 +296,7 @@
     this->upstreamKeeper.tick();
     this->relayServer.tick();
     this->fanout.tick();
+    this->applyLimits();
     this->table.sweep(now, this->routes.idleTimeout());
     this->pacer.sweep(now);
     this->supervisor.supervise();
@@ -307,6 +319,11 @@
     this->metrics.gauge("log_lines_left_out").set(static_cast<double>(this->log.leftOut()));
 }
 
+void VmProcess::Parts::applyLimits()
+{
+    this->director.setLimits(directorLimits(this->settings, this->freeze.isFrozen()));
+}
+
 bool VmProcess::Parts::isReady() const
 {
     return this->director.isReady() && !this->stopPolicy.isStopping();
@@ -382,7 +399,7 @@
     this->settings.warmupOverage = changed->warmupOverage;
     this->settings.warmupSlack = changed->warmupSlack;
     this->settings.evacuation = changed->evacuation;
-    this->director.setLimits(directorLimits(this->settings));
+    this->applyLimits();
     this->log.write(LogEntry(LogKind::State, "settings.reloaded")
                         .text("addresses", sameAddresses ? "unchanged" : "need a restart"));
 }
--- a/src/distribution/internal/relaychoice.cpp
+++ b/src/distribution/internal/relaychoice.cpp
@@ -63,6 +63,7 @@
     sortByScore(relays, hash64(self.str()));
     relays.resize(kLeastRelays);
     std::vector<net::Endpoint> addresses;
+    addresses.reserve(relays.size());
     for (const Candidate &relay : relays) {
         addresses.push_back(relay.offer.address);
     }
--- a/src/flows/flowdirector.h
+++ b/src/flows/flowdirector.h
@@ -51,6 +51,9 @@
     //! What this VM knows of \a upstream, for the log.
     FlowEvidence evidence(upstreams::UpstreamId upstream, TimePoint now) const;
 
+    //! False while operators have frozen automatic actions.
+    bool judgesSilence() const { return this->limits.judgeSilence; }
+
     //! Puts changed limits in force.
     void setLimits(const DirectorLimits &changed) { this->limits = changed; }
 
--- /dev/null
+++ b/src/switches/tests/freezeswitchtest.cpp
@@ -0,0 +1,79 @@
+#include "switches/freezeswitch.h"
+
+#include "net/manualeventloop.h"
+#include "standins/memorystore.h"
+#include "store/prefixpoller.h"
+#include "telemetry/ieventlog.h"
+#include "telemetry/types/logentry.h"
+
+#include <criterion/criterion.h>
+
+using namespace radishladder;
+using namespace radishladder::switches;
+using namespace std::chrono_literals;
+using standins::MemoryStore;
+
+namespace {
+class CountingLog : public telemetry::IEventLog
+{
+public:
+    bool accepts(telemetry::LogKind) override { return true; }
+    void write(const telemetry::LogEntry &) override { ++this->lines; }
+
+    int lines = 0;
+};
+
+struct Fixture
+{
+    ManualClock clock;
+    net::ManualEventLoop loop{this->clock};
+    MemoryStore store{this->loop};
+    CountingLog log;
+    FreezeSwitch freeze{DataCentreName("obuda"), this->log};
+    store::PrefixPoller poller{this->store, this->loop, this->freeze, FreezeSwitch::prefix(), 5s};
+
+    Fixture() { this->poller.start(); }
+};
+}
+
+Test(freezeswitch, operators_freeze_the_fleet_or_one_data_centre)
+{
+    struct Row
+    {
+        const char *name;
+        std::optional<DataCentreName> scope;
+        const char *value;
+        bool isFrozen;
+    };
+    const Row rows[] = {
+        {"fleet", std::nullopt, "on", true},
+        {"fleet, off", std::nullopt, "off", false},
+        {"own data centre", DataCentreName("obuda"), "on", true},
+        {"another data centre", DataCentreName("kobanya"), "on", false},
+        {"unreadable", std::nullopt, "yes", false},
+    };
+    for (const Row &row : rows) {
+        Fixture f;
+        f.store.put(FreezeSwitch::key(row.scope), row.value);
+        f.loop.advance(6s);
+        cr_assert_eq(f.freeze.isFrozen(), row.isFrozen, "%s", row.name);
+    }
+}
+
+Test(freezeswitch, a_freeze_outlasts_outages_and_unreadable_values_and_ends_when_told)
+{
+    Fixture f;
+    f.store.put(FreezeSwitch::key(std::nullopt), FreezeSwitch::value(true));
+    f.loop.advance(6s);
+    f.store.setMode(MemoryStore::Mode::Refusing);
+    f.loop.advance(20s);
+    cr_assert(f.freeze.isFrozen());
+    f.store.setMode(MemoryStore::Mode::Serving);
+    f.store.put(FreezeSwitch::key(std::nullopt), "maybe");
+    f.loop.advance(20s);
+    cr_assert(f.freeze.isFrozen());
+    cr_assert_eq(f.log.lines, 2);
+    f.store.put(FreezeSwitch::key(std::nullopt), FreezeSwitch::value(false));
+    f.loop.advance(6s);
+    cr_assert_not(f.freeze.isFrozen());
+}
