Judge the upstreams of the own data centre first

Change: the own data centre is judged first, the others only if nobody there suffices. A property test shows that the choice is as good as among all.

--- a/src/flows/internal/openingdirector.cpp
+++ b/src/flows/internal/openingdirector.cpp
@@ -100,8 +100,7 @@
                                     FlowRecord *record, TimePoint now)
 {
     const ServiceName &service = this->serviceFor(packet, route);
-    this->collectCandidates(service, record, now);
-    const auto chosen = this->policy.choose(this->candidates);
+    const auto chosen = this->choose(service, record, now);
     if (!chosen) {
         return record == nullptr ? refuseOpening(packet, ResultCode::FlowNoUpstream)
                                  : refused(FlowAction::Drop, ResultCode::FlowNoUpstream);
@@ -148,13 +147,30 @@
     return route.services.front().service;
 }
 
+std::optional<std::size_t> OpeningDirector::choose(const ServiceName &service,
+                                                   const FlowRecord *previous, TimePoint now)
+{
+    // Load pattern: services with upstreams in many data centres; the own one nearly always
+    // suffices.
+    this->collectCandidates(service, previous, true, now);
+    const auto local = this->policy.choose(this->candidates);
+    if (local && this->policy.suffices(this->candidates[*local])) {
+        return local;
+    }
+    this->collectCandidates(service, previous, false, now);
+    return this->policy.choose(this->candidates);
+}
+
 void OpeningDirector::collectCandidates(const ServiceName &service, const FlowRecord *previous,
-                                        TimePoint now)
+                                        bool onlyLocal, TimePoint now)
 {
     this->choices.clear();
     this->candidates.clear();
     const int maxConnections = this->routes.limits(service).maxConnections;
     for (const upstreams::UpstreamRecord *upstream : this->registry.ofService(service)) {
+        if (onlyLocal && upstream->upstream.dataCentre != this->dataCentre) {
+            continue;
+        }
         const bool isPrevious = previous != nullptr && previous->upstream == upstream->upstream.id;
         if (isPrevious || !upstream->takesNewFlows()
             || this->routes.isEvacuated(upstream->upstream.dataCentre)) {
--- a/src/flows/internal/openingdirector.h
+++ b/src/flows/internal/openingdirector.h
@@ -4,6 +4,8 @@
 #include "global/name.h"
 
 #include <chrono>
+#include <cstddef>
+#include <optional>
 #include <vector>
 
 namespace radishladder::membership {
@@ -49,7 +51,11 @@
     FlowDecision place(const FlowPacket &packet, const routing::Route &route, FlowRecord *record,
                        TimePoint now);
     const ServiceName &serviceFor(const FlowPacket &packet, const routing::Route &route) const;
-    void collectCandidates(const ServiceName &service, const FlowRecord *previous, TimePoint now);
+    //! Index into the candidates; std::nullopt if none can take the flow.
+    std::optional<std::size_t> choose(const ServiceName &service, const FlowRecord *previous,
+                                      TimePoint now);
+    void collectCandidates(const ServiceName &service, const FlowRecord *previous, bool onlyLocal,
+                           TimePoint now);
     placement::Candidate judge(const upstreams::UpstreamRecord &upstream, TimePoint now) const;
     int warmupLimit(const upstreams::UpstreamRecord &upstream) const;
     bool ownsWarmup(const upstreams::UpstreamRecord &upstream) const;
--- a/src/placement/internal/localfirstpolicy.cpp
+++ b/src/placement/internal/localfirstpolicy.cpp
@@ -16,6 +16,11 @@
     }
     return !candidate.isCold || candidate.mayWarm;
 }
+
+bool isTrial(const Candidate &candidate)
+{
+    return candidate.isSuspect && candidate.mayTry && candidate.isLocal && !candidate.isCold;
+}
 }
 
 LocalFirstPolicy::LocalFirstPolicy(IRandom &random) : random(random) { }
@@ -46,10 +51,7 @@
 {
     // Load pattern: an upstream that comes back after a silence learns of no flows unless one is
     // risked on it now and then.
-    if (const auto trial = this->leastLoaded(candidates, [](const Candidate &candidate) {
-            return candidate.isSuspect && candidate.mayTry && candidate.isLocal
-                && !candidate.isCold;
-        })) {
+    if (const auto trial = this->leastLoaded(candidates, isTrial)) {
         return trial;
     }
     // Load pattern: calm day; bytes between data centres are dear.
@@ -75,4 +77,10 @@
         return !candidate.isCold || candidate.mayWarm;
     });
 }
+
+bool LocalFirstPolicy::suffices(const Candidate &candidate) const
+{
+    return isTrial(candidate)
+        || (candidate.isLocal && isUsable(candidate) && candidate.load < kSpillLoad);
+}
 }
--- a/src/placement/iplacementpolicy.h
+++ b/src/placement/iplacementpolicy.h
@@ -15,5 +15,8 @@
 
     //! Index into \a candidates; std::nullopt if none can take the flow.
     virtual std::optional<std::size_t> choose(std::span<const Candidate> candidates) = 0;
+
+    //! True if no upstream of another data centre would be chosen instead of \a candidate.
+    virtual bool suffices(const Candidate &candidate) const = 0;
 };
 }
--- a/src/placement/localfirstpolicy.h
+++ b/src/placement/localfirstpolicy.h
@@ -16,6 +16,7 @@
     explicit LocalFirstPolicy(IRandom &random);
 
     std::optional<std::size_t> choose(std::span<const Candidate> candidates) override;
+    bool suffices(const Candidate &candidate) const override;
 
 private:
     template <typename Filter>
--- a/src/placement/tests/localfirstpolicytest.cpp
+++ b/src/placement/tests/localfirstpolicytest.cpp
@@ -98,3 +98,32 @@
         RC_ASSERT(isKept);
     });
 }
+
+Test(localfirstpolicy, a_choice_that_suffices_is_as_good_as_one_among_all)
+{
+    rc::check([](const std::vector<std::array<std::uint8_t, 3>> &drawn) {
+        std::vector<Candidate> all;
+        std::vector<Candidate> local;
+        for (const auto &[kind, flags, load] : drawn) {
+            const Candidate candidate{.isLocal = kind % 2 == 0,
+                                      .isCold = flags % 4 == 0,
+                                      .mayWarm = flags % 8 == 0,
+                                      .isSuspect = flags % 3 == 0,
+                                      .mayTry = flags % 6 == 0,
+                                      .load = load / 64.0};
+            all.push_back(candidate);
+            if (candidate.isLocal) {
+                local.push_back(candidate);
+            }
+        }
+        SeededRandom random(1);
+        LocalFirstPolicy policy(random);
+        const auto chosen = policy.choose(local);
+        RC_PRE(chosen && policy.suffices(local[*chosen]));
+        const auto amongAll = policy.choose(all);
+        RC_ASSERT(amongAll.has_value());
+        RC_ASSERT(all[*amongAll].isLocal);
+        RC_ASSERT(all[*amongAll].load == local[*chosen].load);
+        RC_ASSERT(all[*amongAll].isSuspect == local[*chosen].isSuspect);
+    });
+}
