Let HTTP services share an address

Change: one server for each address; the relay and the pages answer their own paths, readiness the rest.

--- /dev/null
+++ b/src/app/httpdispatch.cpp
@@ -0,0 +1,23 @@
+#include "app/httpdispatch.h"
+
+#include "net/types/httpanswer.h"
+#include "net/types/httprequest.h"
+
+namespace radishladder::app {
+void HttpDispatch::add(Filter takes, Handler handler)
+{
+    this->services.push_back({std::move(takes), std::move(handler)});
+}
+
+void HttpDispatch::handle(const net::HttpRequest &request,
+                          const net::IHttpServer::Responder &respond) const
+{
+    for (const Service &service : this->services) {
+        if (service.takes(request.path)) {
+            service.handler(request, respond);
+            return;
+        }
+    }
+    respond({.status = 404, .body = R"({"error":"no such page"})"});
+}
+}
--- a/src/app/operationspages.cpp
+++ b/src/app/operationspages.cpp
@@ -17,6 +17,9 @@
 #include "upstreams/types/upstreamrecord.h"
 #include "upstreams/upstreamregistry.h"
 
+#include <algorithm>
+#include <array>
+
 namespace radishladder::app {
 namespace {
 std::int64_t millisecondsOf(std::chrono::steady_clock::duration duration)
@@ -68,6 +71,12 @@
       table(table), director(director), metrics(metrics), log(log)
 { }
 
+bool OperationsPages::isPage(const std::string &path)
+{
+    constexpr std::array kPages{"/metrics", "/status", "/upstreams", "/timeline", "/flow"};
+    return std::ranges::find(kPages, path) != kPages.end();
+}
+
 net::HttpAnswer OperationsPages::answer(const net::HttpRequest &request)
 {
     if (request.path == "/metrics") {
@@ -82,10 +91,7 @@
     if (request.path == "/timeline") {
         return {.body = this->timeLineText()};
     }
-    if (request.path == "/flow") {
-        return this->flowAnswer(request.query);
-    }
-    return {.status = 404, .body = R"({"error":"no such page"})"};
+    return this->flowAnswer(request.query);
 }
 
 std::string OperationsPages::metricsText()
--- a/src/app/operationspages.h
+++ b/src/app/operationspages.h
@@ -43,6 +43,9 @@
                     const flows::FlowDirector &director, telemetry::IMetrics &metrics,
                     const telemetry::BoundedEventLog &log);
 
+    //! True if \a path names one of the pages.
+    static bool isPage(const std::string &path);
+
     net::HttpAnswer answer(const net::HttpRequest &request);
 
 private:
--- /dev/null
+++ b/src/app/tests/httpdispatchtest.cpp
@@ -0,0 +1,52 @@
+#include "app/httpdispatch.h"
+
+#include "net/types/httpanswer.h"
+#include "net/types/httprequest.h"
+
+#include <criterion/criterion.h>
+
+using namespace radishladder;
+using namespace radishladder::app;
+
+namespace {
+HttpDispatch::Handler answering(const char *body)
+{
+    return [body](const net::HttpRequest &, const net::IHttpServer::Responder &respond) {
+        respond({.body = body});
+    };
+}
+}
+
+Test(httpdispatch, services_that_share_an_address_answer_their_own_paths)
+{
+    const auto isChanges = [](const std::string &path) { return path == "/changes"; };
+    const auto isPage = [](const std::string &path) { return path == "/metrics"; };
+    const auto isAny = [](const std::string &) { return true; };
+    struct Row
+    {
+        const char *path;
+        bool withProbe;
+        int status;
+        const char *body;
+    };
+    const Row rows[] = {
+        {"/changes", true, 200, "relay"},
+        {"/metrics", true, 200, "pages"},
+        {"/ready", true, 200, "probe"},
+        {"/metrics", false, 200, "pages"},
+        {"/ready", false, 404, R"({"error":"no such page"})"},
+    };
+    for (const Row &row : rows) {
+        HttpDispatch dispatch;
+        dispatch.add(isChanges, answering("relay"));
+        dispatch.add(isPage, answering("pages"));
+        if (row.withProbe) {
+            dispatch.add(isAny, answering("probe"));
+        }
+        net::HttpAnswer got;
+        dispatch.handle({.path = row.path},
+                        [&got](const net::HttpAnswer &answer) { got = answer; });
+        cr_assert_eq(got.status, row.status, "%s", row.path);
+        cr_assert(got.body == row.body, "%s", row.path);
+    }
+}
--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -1,6 +1,6 @@
 #include "app/vmprocess.h"
 
-#include "app/httpcomponent.h"
+#include "app/httpservers.h"
 #include "app/operationspages.h"
 #include "app/packetpath.h"
 #include "app/stoppolicy.h"
@@ -143,16 +143,7 @@
                 this->table, this->director, this->metrics, this->log),
           packets(this->loop, this->clock, this->codec, this->director, this->log, this->metrics,
                   this->settings.packets),
-          readiness("readiness", this->loop, this->settings.readiness,
-                    [this](const net::HttpRequest &, const net::IHttpServer::Responder &respond) {
-                        respond(this->answerProbe());
-                    }),
-          operations(
-              "operations", this->loop, this->settings.operations,
-              [this](const net::HttpRequest &request, const net::IHttpServer::Responder &respond) {
-                  respond(this->pages.answer(request));
-              }),
-          supervisor("root", this->clock, this->log)
+          servers(this->loop), supervisor("root", this->clock, this->log)
     {
         this->fanout.setMembership(this->membership);
     }
@@ -164,7 +155,7 @@
     std::unique_ptr<net::IHttpConnection> connect(const net::Endpoint &server);
 
     bool start();
-    void startRelay();
+    void addServers();
     void watchSignals();
     void publishGauges();
     void applyLimits();
@@ -210,9 +201,7 @@
     StopPolicy stopPolicy;
     OperationsPages pages;
     PacketPath packets;
-    HttpComponent readiness;
-    HttpComponent operations;
-    std::unique_ptr<HttpComponent> relay;
+    HttpServers servers;
     supervision::Supervisor supervisor;
     bool wasReady = false;
     Reason reason;
@@ -236,9 +225,8 @@
 {
     this->startedAt = this->clock.now();
     this->supervisor.add(this->packets);
-    this->supervisor.add(this->readiness);
-    this->supervisor.add(this->operations);
-    this->startRelay();
+    this->addServers();
+    this->servers.superviseBy(this->supervisor);
     if (!this->supervisor.start()) {
         this->reason = this->supervisor.lastReason();
         return false;
@@ -265,20 +253,27 @@
     return std::make_unique<net::MeteredConnection>(std::move(connection), this->control);
 }
 
-void VmProcess::Parts::startRelay()
+void VmProcess::Parts::addServers()
 {
-    if (!this->settings.relay) {
-        return;
+    using net::HttpRequest;
+    using Responder = net::IHttpServer::Responder;
+    if (this->settings.relay) {
+        this->servers.add("relay", *this->settings.relay, &distribution::RelayServer::takes,
+                          [this](const HttpRequest &request, const Responder &respond) {
+                              this->relayServer.handle(
+                                  request, [this, respond](const net::HttpAnswer &answer) {
+                                      this->control.sent += answer.body.size();
+                                      respond(answer);
+                                  });
+                          });
     }
-    this->relay = std::make_unique<HttpComponent>(
-        "relay", this->loop, *this->settings.relay,
-        [this](const net::HttpRequest &request, const net::IHttpServer::Responder &respond) {
-            this->relayServer.handle(request, [this, respond](const net::HttpAnswer &answer) {
-                this->control.sent += answer.body.size();
-                respond(answer);
-            });
-        });
-    this->supervisor.add(*this->relay);
+    this->servers.add("operations", this->settings.operations, &OperationsPages::isPage,
+                      [this](const HttpRequest &request, const Responder &respond) {
+                          respond(this->pages.answer(request));
+                      });
+    this->servers.add(
+        "readiness", this->settings.readiness, [](const std::string &) { return true; },
+        [this](const HttpRequest &, const Responder &respond) { respond(this->answerProbe()); });
 }
 
 void VmProcess::Parts::watchSignals()
--- a/src/distribution/internal/relayserver.cpp
+++ b/src/distribution/internal/relayserver.cpp
@@ -22,6 +22,11 @@
     this->board.onChange([this]() { this->answerWaiting(); });
 }
 
+bool RelayServer::takes(const std::string &path)
+{
+    return path == "/changes";
+}
+
 void RelayServer::handle(const net::HttpRequest &request,
                          const net::IHttpServer::Responder &respond)
 {
@@ -32,7 +37,7 @@
     };
     Waiting question{.prefix = textOf("prefix"), .respond = respond};
     std::int64_t waitMs = 0;
-    if (request.path != "/changes" || !absl::SimpleAtoi(textOf("after"), &question.after)
+    if (!absl::SimpleAtoi(textOf("after"), &question.after)
         || !absl::SimpleAtoi(textOf("wait_ms"), &waitMs) || waitMs < 0) {
         respond({.status = 400, .body = R"({"error":"GET /changes?prefix=&after=&wait_ms="})"});
         return;
--- a/src/distribution/relayserver.h
+++ b/src/distribution/relayserver.h
@@ -23,6 +23,9 @@
 public:
     RelayServer(ChangeBoard &board, const IClock &clock);
 
+    //! True if \a path is the one that neighbours ask for.
+    static bool takes(const std::string &path);
+
     void handle(const net::HttpRequest &request, const net::IHttpServer::Responder &respond);
 
     //! Answers those who have waited long enough; call it a few times a second.
--- a/tools/radishbench/worldparts.cpp
+++ b/tools/radishbench/worldparts.cpp
@@ -40,6 +40,7 @@
         texts.push_back({this->addresses.service(kFirstExtraRoute + 2 * i), "portal"});
     }
     std::vector<std::uint16_t> ports;
+    ports.reserve(texts.size());
     for (const platform::RouteText &text : texts) {
         ports.push_back(text.address.port);
     }
