Leave first packets to their repeats while every upstream is full

Change: placement/admission: a first packet goes to an upstream with less than three requests in flight a slot, a repeat, which is late already, to one with less than two; else it is left to the caller's next repeat (result 310).

--- a/src/flows/internal/openingdirector.cpp
+++ b/src/flows/internal/openingdirector.cpp
@@ -6,6 +6,7 @@
 #include "flows/types/flowpacket.h"
 #include "global/hash.h"
 #include "membership/imembership.h"
+#include "placement/admission.h"
 #include "placement/iplacementpolicy.h"
 #include "placement/types/candidate.h"
 #include "placement/warmuppacer.h"
@@ -105,12 +106,17 @@
         return record == nullptr ? refuseOpening(packet, ResultCode::FlowNoUpstream)
                                  : refused(FlowAction::Drop, ResultCode::FlowNoUpstream);
     }
+    const placement::Candidate &candidate = this->candidates[*chosen];
+    // A suspect gets a flow to see whether it answers, however many wait there.
+    if (!candidate.isSuspect && !placement::admitsOpening(candidate.load, packet.acknowledged)) {
+        return refused(FlowAction::Drop, ResultCode::FlowUpstreamsFull);
+    }
     const upstreams::UpstreamRecord &upstream = *this->choices[*chosen];
     const upstreams::UpstreamId id = upstream.upstream.id;
     if (upstream.isCold(now)) {
         this->pacer.noteOpened(id, now);
     }
-    if (this->candidates[*chosen].isSuspect) {
+    if (candidate.isSuspect) {
         this->table.noteTrial(id, now);
     }
     FlowDecision decision = forwardTo(upstream);
--- a/src/flows/tests/openingtest.cpp
+++ b/src/flows/tests/openingtest.cpp
@@ -201,6 +201,25 @@
     }
 }
 
+Test(flowdirector, full_upstreams_leave_first_packets_to_their_repeats_and_suspects_do_not)
+{
+    DirectorFixture f;
+    f.slots = 1;
+    f.add(1);
+    for (std::uint16_t port = 1; port <= 3; ++port) {
+        cr_assert_eq(f.decide(f.opening(port)).action, FlowAction::Forward);
+    }
+    const FlowDecision full = f.decide(f.opening(4));
+    cr_assert_eq(full.action, FlowAction::Drop);
+    cr_assert_eq(full.reason, ResultCode::FlowUpstreamsFull);
+    // The repeats of two of them make the upstream a suspect, which is tried all the same.
+    f.now += 600ms;
+    f.decide(f.opening(1, 2));
+    f.decide(f.opening(2, 2));
+    cr_assert(f.table.isSuspect({1}));
+    cr_assert_eq(f.decide(f.opening(5)).action, FlowAction::Forward);
+}
+
 Test(flowdirector, first_packets_that_waited_in_a_paused_vm_touch_no_flow)
 {
     // Replays a VM that woke to the first copies of a flow that a later copy had opened through
--- a/src/framework/global/internal/resultcode.cpp
+++ b/src/framework/global/internal/resultcode.cpp
@@ -40,6 +40,8 @@
      "The upstream of the flow answers none of its flows."},
     {ResultCode::FlowOvertaken, "FlowOvertaken",
      "A first packet waited while the VM was paused; its flow may have opened elsewhere."},
+    {ResultCode::FlowUpstreamsFull, "FlowUpstreamsFull",
+     "Every upstream is full for now; the caller repeats its first packet."},
     {ResultCode::EntryMalformed, "EntryMalformed",
      "An entry of an upstream lacks a field or has one of the wrong type."},
     {ResultCode::EntryUnknownState, "EntryUnknownState",
--- a/src/framework/global/resultcode.h
+++ b/src/framework/global/resultcode.h
@@ -39,6 +39,7 @@
     FlowAlreadyOpen = 307,
     FlowUpstreamSilent = 308,
     FlowOvertaken = 309,
+    FlowUpstreamsFull = 310,
 
     // 4xx: entries of the store
     EntryMalformed = 400,
--- /dev/null
+++ b/src/placement/tests/admissiontest.cpp
@@ -0,0 +1,23 @@
+#include "placement/admission.h"
+
+#include <criterion/criterion.h>
+
+using namespace radishladder::placement;
+
+Test(admission, fresh_first_packets_go_before_repeats_while_upstreams_are_full)
+{
+    struct Row
+    {
+        double load;
+        std::uint32_t copy;
+        bool isAdmitted;
+    };
+    const Row rows[] = {
+        {0, 0, true},   {0, 2, true},   {1.9, 1, true},  {2.0, 1, false},
+        {2.0, 0, true}, {2.9, 0, true}, {3.0, 0, false}, {5.0, 2, false},
+    };
+    for (const Row &row : rows) {
+        cr_assert_eq(admitsOpening(row.load, row.copy), row.isAdmitted, "load %.1f, copy %u",
+                     row.load, row.copy);
+    }
+}
