Reset flows on unlisted upstreams only after the store has confirmed the list

A VM whose link to the store had gone silent 2.5 s before had not heard of an upstream that had just started; a flow that another VM had placed there came by, and its second packet was reset as 'token unknown'. Trust in the list ended with the next tick only, and no answer of the store since the flow began to wait was asked for. Change: trust ends with the contact; the store must have answered 300 ms or more after the flow began to wait. Watches that end without a change count as answers. Before: the rows 'deaf watch' and 'an answer that was on its way already' and the test of the keeper failed. After: they pass.

--- a/src/flows/internal/openflowdirector.cpp
+++ b/src/flows/internal/openflowdirector.cpp
@@ -15,6 +15,9 @@
 constexpr int kSilentFlowsForReset = 3;
 constexpr int kRepeatsForSharedReset = 2;
 
+//! An answer that comes so long after a packet was not on its way when the packet was sent.
+constexpr std::chrono::milliseconds kConfirmationAge{300};
+
 //! Silence after which two flows suffice; one may be silent since this VM is slow itself.
 constexpr std::chrono::milliseconds kLongSilence{1200};
 constexpr int kSilentFlowsAfterLong = 2;
@@ -183,8 +186,7 @@
     }
     const bool isStuck = record != nullptr && record->repeats > 0 && !packet.resets;
     if (upstream == nullptr) {
-        // Without doubt about the store, an upstream that is not listed does not live.
-        const bool mayReset = isStuck && this->registry.isTrusted();
+        const bool mayReset = isStuck && this->isUnlisted(*record);
         return refused(mayReset ? FlowAction::Reset : FlowAction::Drop,
                        ResultCode::FlowTokenUnknown);
     }
@@ -201,6 +203,14 @@
     return {};
 }
 
+bool OpenFlowDirector::isUnlisted(const FlowRecord &record) const
+{
+    // An upstream that is not listed does not live, unless it was added since the store last
+    // answered: a watch may be deaf while other calls are answered.
+    return this->registry.isTrusted()
+        && this->registry.confirmedAt() - record.waitingSince >= kConfirmationAge;
+}
+
 bool OpenFlowDirector::isAbandoned(const FlowPacket &packet, const FlowRecord &record,
                                    TimePoint now) const
 {
--- a/src/flows/internal/openflowdirector.h
+++ b/src/flows/internal/openflowdirector.h
@@ -51,6 +51,8 @@
                                                      TimePoint now);
     FlowDecision decideEnded(const FlowPacket &packet, FlowRecord *record,
                              const upstreams::UpstreamRecord *upstream, TimePoint now);
+    //! The upstream of \a record is missing from what the store says since the flow waits.
+    bool isUnlisted(const FlowRecord &record) const;
     bool isAbandoned(const FlowPacket &packet, const FlowRecord &record, TimePoint now) const;
 
     const routing::RouteTable &routes;
--- a/src/flows/tests/flowdirectortest.cpp
+++ b/src/flows/tests/flowdirectortest.cpp
@@ -132,18 +132,35 @@
 
 Test(flowdirector, a_stuck_flow_on_an_unlisted_upstream_is_reset_only_without_doubt)
 {
-    // Replays a VM that joined after an upstream had crashed: it never heard of that upstream.
-    for (const bool isTrusted : {true, false}) {
+    // Replays a VM that joined after an upstream had crashed and never heard of that upstream, and
+    // one whose watch was deaf while another VM opened a flow on an upstream that had just started.
+    struct Row
+    {
+        const char *name;
+        bool isTrusted;
+        std::chrono::milliseconds confirmedAfter; //!< the flow began to wait; 0 for never
+        FlowAction action;
+    };
+    const Row rows[] = {
+        {"listed anew since", true, 400ms, FlowAction::Reset},
+        {"an answer that was on its way already", true, 100ms, FlowAction::Drop},
+        {"deaf watch", true, 0ms, FlowAction::Drop},
+        {"store in trouble", false, 400ms, FlowAction::Drop},
+    };
+    for (const Row &row : rows) {
         DirectorFixture f;
         f.add(1);
-        f.registry.setTrusted(isTrusted);
+        f.registry.setTrusted(row.isTrusted);
+        f.registry.setConfirmed(f.now);
         cr_assert_eq(f.decide(f.data(1, 77, 101)).action, FlowAction::Drop);
-        f.now += 200ms;
-        cr_assert_eq(f.decide(f.data(1, 77, 101)).action,
-                     isTrusted ? FlowAction::Reset : FlowAction::Drop);
+        if (row.confirmedAfter > 0ms) {
+            f.registry.setConfirmed(f.now + row.confirmedAfter);
+        }
+        f.now += 600ms;
+        cr_assert_eq(f.decide(f.data(1, 77, 101)).action, row.action, "%s", row.name);
         f.add(77);
-        f.now += 400ms;
-        cr_assert_eq(f.decide(f.data(1, 77, 101)).action, FlowAction::Forward);
+        f.now += 800ms;
+        cr_assert_eq(f.decide(f.data(1, 77, 101)).action, FlowAction::Forward, "%s", row.name);
     }
 }
 
--- a/src/store/internal/prefixfollower.cpp
+++ b/src/store/internal/prefixfollower.cpp
@@ -65,6 +65,7 @@
     this->seenRevision = this->firstPageRevision;
     this->synchronized = true;
     this->listener.onSnapshot(items);
+    this->listener.onUpToDate();
     this->schedule(this->pacing.gather, &PrefixFollower::watch);
 }
 
@@ -100,10 +101,12 @@
     this->noteSuccess();
     this->seenRevision = std::max(this->seenRevision, changes.revision);
     if (changes.items.empty()) {
+        this->listener.onUpToDate();
         this->watch();
         return;
     }
     this->listener.onChanges(changes.items);
+    this->listener.onUpToDate();
     this->schedule(changes.isRelayed ? this->pacing.relayedGather : this->pacing.gather,
                    &PrefixFollower::watch);
 }
--- a/src/store/iprefixlistener.h
+++ b/src/store/iprefixlistener.h
@@ -18,6 +18,9 @@
     //! Changes in the order of their revisions.
     virtual void onChanges(const std::vector<StoreItem> &items) = 0;
 
+    //! The store answered: what was told so far is all that there was.
+    virtual void onUpToDate() { }
+
     //! The store cannot be reached or refuses; \a detail says how.
     virtual void onContactLost(const std::string &detail) = 0;
 
--- a/src/store/tests/prefixfollowertest.cpp
+++ b/src/store/tests/prefixfollowertest.cpp
@@ -32,11 +32,13 @@
             }
         }
     }
+    void onUpToDate() override { ++this->confirmations; }
     void onContactLost(const std::string &) override { ++this->lost; }
     void onContactRegained() override { ++this->regained; }
 
     std::map<std::string, std::string> values;
     int snapshots = 0;
+    int confirmations = 0;
     int lost = 0;
     int regained = 0;
 };
@@ -126,6 +128,22 @@
     }
 }
 
+Test(prefixfollower, every_answer_confirms_what_was_told_and_no_failure_does)
+{
+    Fixture f;
+    f.start();
+    cr_assert_eq(f.listener.confirmations, 1);
+    f.store.put("up/a", "2");
+    f.loop.advance(1s);
+    cr_assert_eq(f.listener.confirmations, 2);
+    // Watches that end without a change.
+    f.loop.advance(41s);
+    cr_assert_eq(f.listener.confirmations, 4);
+    f.store.setMode(MemoryStore::Mode::Refusing);
+    f.loop.advance(10s);
+    cr_assert_eq(f.listener.confirmations, 4);
+}
+
 Test(prefixfollower, a_store_known_to_be_in_trouble_is_not_called_until_it_is_said_to_be_back)
 {
     Fixture f;
--- a/src/upstreams/internal/upstreamkeeper.cpp
+++ b/src/upstreams/internal/upstreamkeeper.cpp
@@ -116,10 +116,16 @@
 {
     this->contact = false;
     this->unstableAt = this->clock.now();
+    this->registry.setTrusted(false);
     this->log.write(
         LogEntry(LogKind::State, "store.lost").text("for", "upstreams").text("detail", detail));
 }
 
+void UpstreamKeeper::onUpToDate()
+{
+    this->registry.setConfirmed(this->clock.now());
+}
+
 void UpstreamKeeper::onContactRegained()
 {
     this->contact = true;
--- a/src/upstreams/iupstreamlistener.h
+++ b/src/upstreams/iupstreamlistener.h
@@ -26,6 +26,9 @@
     virtual void onUpstreamRejected(const std::string &key, UpstreamId id,
                                     const std::string &detail) = 0;
 
+    //! The store answered: what was told so far is all that there was.
+    virtual void onUpToDate() = 0;
+
     virtual void onContactLost(const std::string &detail) = 0;
     virtual void onContactRegained() = 0;
 };
--- a/src/upstreams/tests/upstreamkeepertest.cpp
+++ b/src/upstreams/tests/upstreamkeepertest.cpp
@@ -89,3 +89,21 @@
     cr_assert_eq(f.presence(4), Presence::Gone);
     cr_assert_eq(f.presence(5), Presence::Present);
 }
+
+Test(upstreamkeeper, trust_ends_with_the_contact_and_not_with_the_next_tick)
+{
+    Fixture f;
+    f.clock.advance(5s);
+    f.keeper.tick();
+    cr_assert(f.registry.isTrusted());
+    f.keeper.onContactLost("no answer");
+    cr_assert_not(f.registry.isTrusted());
+}
+
+Test(upstreamkeeper, the_registry_knows_when_the_store_last_confirmed_it)
+{
+    Fixture f;
+    f.clock.advance(5s);
+    f.keeper.onUpToDate();
+    cr_assert(f.registry.confirmedAt() == f.clock.now());
+}
--- a/src/upstreams/upstreamkeeper.h
+++ b/src/upstreams/upstreamkeeper.h
@@ -28,6 +28,7 @@
     void onUpstreamRejected(const std::string &key, UpstreamId id,
                             const std::string &detail) override;
     void onContactLost(const std::string &detail) override;
+    void onUpToDate() override;
     void onContactRegained() override;
 
     //! Ends what has been doubtful for long enough; call it a few times a second.
--- a/src/upstreams/upstreamregistry.h
+++ b/src/upstreams/upstreamregistry.h
@@ -59,6 +59,10 @@
     void setTrusted(bool isTrusted) { this->trusted = isTrusted; }
     bool isTrusted() const { return this->trusted; }
 
+    //! The store has said at \a now that there is nothing else.
+    void setConfirmed(TimePoint now) { this->confirmed = now; }
+    TimePoint confirmedAt() const { return this->confirmed; }
+
     std::size_t size() const { return this->records.size(); }
     bool hasDoubtful() const { return this->doubtful > 0; }
 
@@ -73,6 +77,7 @@
     std::size_t doubtful = 0;
     bool synchronized = false;
     bool trusted = false;
+    TimePoint confirmed;
     std::unordered_map<UpstreamId, std::unique_ptr<UpstreamRecord>> records;
     std::unordered_map<std::uint32_t, UpstreamRecord *> tokens;
     std::unordered_map<ServiceName, std::vector<UpstreamRecord *>> services;
