Leave flows out of the soak's check if a configuration dropped their route meanwhile

Traced: configuration 24 had dropped the flow's route, the VM reset it ('FlowRouteRemoved'), and the next configuration had brought the route back before the check looked. Change: the check asks whether any configuration dropped the route since shortly before the flow opened. The daemon is unchanged.

--- a/tools/radishbench/caller.h
+++ b/tools/radishbench/caller.h
@@ -34,8 +34,10 @@
     //! Hands a datagram to the VM that the router picks for \a flow; false if there is none.
     using Route = std::function<bool(const flows::FlowKey &flow, std::span<const std::uint8_t>)>;
 
-    //! True if an undisturbed upstream holds \a flow, accepted with \a sequence.
-    using Holds = std::function<bool(const flows::FlowKey &flow, std::uint32_t sequence)>;
+    //! True if an undisturbed upstream holds \a flow, accepted with \a sequence and opened at \a
+    //! openedAt, and no configuration has dropped its route.
+    using Holds = std::function<bool(const flows::FlowKey &flow, std::uint32_t sequence,
+                                     std::chrono::steady_clock::time_point openedAt)>;
 
     Caller(net::IEventLoop &loop, IRandom &random, Verdicts &verdicts, net::Endpoint local,
            Route route, Holds holds);
--- a/tools/radishbench/publishedroutes.h
+++ b/tools/radishbench/publishedroutes.h
@@ -21,8 +21,18 @@
     //! std::nullopt while it is there.
     std::optional<TimePoint> removedAt(std::uint16_t port) const;
 
+    //! True if a configuration dropped the route at \a port after \a since, back by now or not.
+    bool wasRemovedAfter(std::uint16_t port, TimePoint since) const;
+
 private:
-    //! std::nullopt while the route is there.
-    std::map<std::uint16_t, std::optional<TimePoint>> routes;
+    struct Route
+    {
+        bool isThere = false;
+
+        //! When a configuration last dropped it; the start of the run if none did.
+        TimePoint removed;
+    };
+
+    std::map<std::uint16_t, Route> routes;
 };
 }
--- a/tools/radishbench/world.h
+++ b/tools/radishbench/world.h
@@ -4,6 +4,7 @@
 #include "platform/standins/storeserver.h"
 #include "radishbench/worldparts.h"
 
+#include <chrono>
 #include <memory>
 #include <span>
 #include <string>
@@ -42,7 +43,8 @@
     void probeAll();
     void watchProcesses();
     bool deliver(const flows::FlowKey &flow, std::span<const std::uint8_t> datagram);
-    bool isHeld(const flows::FlowKey &flow, std::uint32_t sequence) const;
+    bool isHeld(const flows::FlowKey &flow, std::uint32_t sequence,
+                std::chrono::steady_clock::time_point openedAt) const;
     VmHandle *route(const flows::FlowKey &flow) const;
 
     WorldParts parts;
