Leave the rotation while this VM can serve nobody

Routers turn to the nearest data centres once no VM of one is ready. Meanwhile no flow is reset for silence. Readiness holds what vmprocess did for probes.

--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -3,6 +3,7 @@
 #include "app/httpservers.h"
 #include "app/operationspages.h"
 #include "app/packetpath.h"
+#include "app/readiness.h"
 #include "app/stoppolicy.h"
 #include "distribution/changeboard.h"
 #include "distribution/fanoutstore.h"
@@ -94,12 +95,14 @@
     return membership::RelayOffer{.address = *settings.relay, .mbps = settings.linkMbps};
 }
 
-flows::DirectorLimits directorLimits(const settings::VmSettings &settings, bool isFrozen)
+flows::DirectorLimits directorLimits(const settings::VmSettings &settings, bool isFrozen,
+                                     bool isCutOff)
 {
     return {.warmupOverage = settings.warmupOverage,
             .warmupSlack = settings.warmupSlack,
             .evacuationGrace = settings.evacuation * 3 / 5,
-            .judgeSilence = settings.automaticActions && !isFrozen};
+            .judgeSilence = settings.automaticActions && !isFrozen,
+            .resetSilentFlows = !isCutOff};
 }
 
 }
@@ -137,8 +140,10 @@
                        kSwitchPeriod),
           director(this->routes, this->registry, this->membership, this->table, this->policy,
                    this->pacer, this->settings.name, this->settings.dataCentre,
-                   directorLimits(this->settings, false)),
+                   directorLimits(this->settings, false, false)),
           stopPolicy(this->settings.stop),
+          readiness(this->director, this->routes, this->registry, this->table, this->stopPolicy,
+                    this->clock, this->log, this->settings.dataCentre),
           pages(this->settings, this->clock, this->routes, this->registry, this->membership,
                 this->table, this->director, this->metrics, this->log),
           packets(this->loop, this->clock, this->codec, this->director, this->log, this->metrics,
@@ -160,9 +165,6 @@
     void publishGauges();
     void applyLimits();
     void tick();
-    void noteReadiness();
-    bool isReady() const;
-    net::HttpAnswer answerProbe();
     void askToStop();
     void endWhenQuiet();
     void reload();
@@ -199,16 +201,17 @@
     flows::FlowDirector director;
     platform::EchoPacketCodec codec;
     StopPolicy stopPolicy;
+    Readiness readiness;
     OperationsPages pages;
     PacketPath packets;
     HttpServers servers;
     supervision::Supervisor supervisor;
-    bool wasReady = false;
     Reason reason;
 };
 
 void VmProcess::Parts::onStoreTrouble(const std::string &detail)
 {
+    this->readiness.noteStore(false);
     this->fanout.onStoreTrouble(detail);
     this->operatorFollower.onStoreTrouble(detail);
     this->upstreamFollower.onStoreTrouble(detail);
@@ -216,6 +219,7 @@
 
 void VmProcess::Parts::onStoreReturned()
 {
+    this->readiness.noteStore(true);
     this->fanout.onStoreReturned();
     this->operatorFollower.onStoreReturned();
     this->upstreamFollower.onStoreReturned();
@@ -273,7 +277,9 @@
                       });
     this->servers.add(
         "readiness", this->settings.readiness, [](const std::string &) { return true; },
-        [this](const HttpRequest &, const Responder &respond) { respond(this->answerProbe()); });
+        [this](const HttpRequest &, const Responder &respond) {
+            respond(this->readiness.answerProbe());
+        });
 }
 
 void VmProcess::Parts::watchSignals()
@@ -295,7 +301,7 @@
     this->table.sweep(now, this->routes.idleTimeout());
     this->pacer.sweep(now);
     this->supervisor.supervise();
-    this->noteReadiness();
+    this->readiness.tick();
     this->publishGauges();
     this->log.flush();
     if (!this->supervisor.isHealthy()) {
@@ -316,36 +322,8 @@
 
 void VmProcess::Parts::applyLimits()
 {
-    this->director.setLimits(directorLimits(this->settings, this->freeze.isFrozen()));
-}
-
-bool VmProcess::Parts::isReady() const
-{
-    return this->director.isReady() && !this->stopPolicy.isStopping();
-}
-
-void VmProcess::Parts::noteReadiness()
-{
-    const bool ready = this->isReady();
-    if (ready != this->wasReady) {
-        this->wasReady = ready;
-        this->log.write(
-            LogEntry(LogKind::State, ready ? "process.ready" : "process.not_ready")
-                .number("configuration", static_cast<std::int64_t>(this->routes.version()))
-                .number("upstreams", static_cast<std::int64_t>(this->registry.live().size())));
-    }
-}
-
-net::HttpAnswer VmProcess::Parts::answerProbe()
-{
-    this->noteReadiness();
-    if (this->isReady()) {
-        return {.body = "{}"};
-    }
-    if (this->stopPolicy.isStopping()) {
-        this->stopPolicy.noteProbeRefused();
-    }
-    return {.status = 503, .body = "{}"};
+    this->director.setLimits(
+        directorLimits(this->settings, this->freeze.isFrozen(), this->readiness.isOutOfRotation()));
 }
 
 void VmProcess::Parts::askToStop()
--- a/src/flows/flowtable.h
+++ b/src/flows/flowtable.h
@@ -52,8 +52,8 @@
     //! Notes that a new flow tries a suspect.
     void noteTrial(upstreams::UpstreamId upstream, TimePoint now);
 
-    //! Drops the evidence on \a upstream, for example after it has started again.
-    void clearSuspicion(upstreams::UpstreamId upstream);
+    //! Drops the evidence against all upstreams, for example after this VM was cut off.
+    void clearSuspicions();
 
     //! Forgets flows that are idle for longer than \a idle or that never opened.
     void sweep(TimePoint now, std::chrono::milliseconds idle);
--- a/src/flows/internal/flowtable.cpp
+++ b/src/flows/internal/flowtable.cpp
@@ -130,12 +130,14 @@
     load.nextTrial = now + load.trialPause;
 }
 
-void FlowTable::clearSuspicion(upstreams::UpstreamId upstream)
+void FlowTable::clearSuspicions()
 {
-    const auto known = this->loads.find(upstream);
-    if (known != this->loads.end()) {
-        known->second.silentFlows = 0;
-        known->second.trialPause = std::chrono::milliseconds(0);
+    for (auto &[id, load] : this->loads) {
+        load.silentFlows = 0;
+        load.trialPause = std::chrono::milliseconds(0);
+    }
+    for (auto &[key, record] : this->records) {
+        record.isCountedSilent = false;
     }
 }
 
--- a/src/flows/internal/openflowdirector.cpp
+++ b/src/flows/internal/openflowdirector.cpp
@@ -220,8 +220,8 @@
     const routing::Route *route = this->routes.find(packet.flow.service);
     const bool isRepeatable = route != nullptr && route->kind == routing::RequestKind::Idempotent;
     const UpstreamLoad *load = this->table.load(record.upstream);
-    if (!this->limits.judgeSilence || !isRepeatable || load == nullptr
-        || load->lastProgress > record.waitingSince) {
+    const bool mayReset = this->limits.judgeSilence && this->limits.resetSilentFlows;
+    if (!mayReset || !isRepeatable || load == nullptr || load->lastProgress > record.waitingSince) {
         return false;
     }
     const auto waited = now - record.waitingSince;
--- a/src/flows/tests/flowdirectortest.cpp
+++ b/src/flows/tests/flowdirectortest.cpp
@@ -219,21 +219,31 @@
     }
 }
 
-Test(flowdirector, silence_ends_no_flow_that_callers_cannot_repeat_or_that_operators_froze)
+Test(flowdirector, silence_ends_no_flow_that_callers_cannot_repeat_or_that_may_go_on_elsewhere)
 {
-    for (const bool isFrozen : {true, false}) {
+    struct Row
+    {
+        const char *name;
+        void (*change)(DirectorFixture &);
+    };
+    const Row rows[] = {
+        {"operators froze automatic actions",
+         [](DirectorFixture &f) { f.director.setLimits({.judgeSilence = false}); }},
+        {"not idempotent",
+         [](DirectorFixture &f) { f.configure(2, {80}, routing::RequestKind::NonIdempotent); }},
+        {"this VM is cut off, and other VMs may reach the upstream",
+         [](DirectorFixture &f) { f.director.setLimits({.resetSilentFlows = false}); }},
+    };
+    for (const Row &row : rows) {
         DirectorFixture f;
         f.add(1);
-        if (isFrozen) {
-            f.director.setLimits({.judgeSilence = false});
-        } else {
-            f.configure(2, {80}, routing::RequestKind::NonIdempotent);
-        }
+        row.change(f);
         sendRequests(f, 5);
         for (int i = 1; i <= 20; ++i) {
             f.now += 200ms;
             for (std::uint16_t port = 1; port <= 5; ++port) {
-                cr_assert_eq(f.decide(f.data(port, 1, 101)).action, FlowAction::Forward);
+                cr_assert_eq(f.decide(f.data(port, 1, 101)).action, FlowAction::Forward, "%s",
+                             row.name);
             }
         }
     }
--- a/src/flows/types/directorlimits.h
+++ b/src/flows/types/directorlimits.h
@@ -17,5 +17,8 @@
 
     //! Off while operators have frozen automatic actions: nothing is then concluded from silence.
     bool judgeSilence = true;
+
+    //! Off while this VM is cut off: a flow that it resets could go on through another VM.
+    bool resetSilentFlows = true;
 };
 }
--- a/src/upstreams/internal/upstreamregistry.cpp
+++ b/src/upstreams/internal/upstreamregistry.cpp
@@ -144,6 +144,12 @@
     return known == this->services.end() ? kNone : known->second;
 }
 
+bool UpstreamRegistry::any(const std::function<bool(const UpstreamRecord &)> &holds) const
+{
+    return std::ranges::any_of(this->records,
+                               [&holds](const auto &entry) { return holds(*entry.second); });
+}
+
 std::vector<UpstreamId> UpstreamRegistry::live() const
 {
     std::vector<UpstreamId> ids;
--- a/src/upstreams/upstreamregistry.h
+++ b/src/upstreams/upstreamregistry.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -48,6 +49,9 @@
     //! Upstreams of \a service, ended ones included; the pointers hold until the next change.
     const std::vector<UpstreamRecord *> &ofService(const ServiceName &service) const;
 
+    //! True if \a holds is true of an upstream, ended ones included; asks no further ones then.
+    bool any(const std::function<bool(const UpstreamRecord &)> &holds) const;
+
     //! Identifiers of all upstreams that have not ended.
     std::vector<UpstreamId> live() const;
 
