Start from neighbours and list through relays, and retry a refusing store less often

Change: GET /listing beside /changes on the relay port hands over everything under a prefix, only if it is whole and the giver follows the store itself and has heard it within 2.6 s, or for stale reads listed it within 6 s. Listings of members and switches go the same way. A giver sends 512 KB of listings a tick at most. Contact is measured with time that counts suspension: with monotonic time a giver that woke from a pause handed an upstream over that had left (handovertest fails first, with the old clock). A lease is retried each 2 s at the latest while the store refuses at once; a silent one as before. Members settle after 8 s instead of 5, since a listing may come by way of a relay: the test's bound moves with it. StoreView holds what vmprocess wired.

--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -5,15 +5,13 @@
 #include "app/packetpath.h"
 #include "app/readiness.h"
 #include "app/stoppolicy.h"
-#include "distribution/changeboard.h"
-#include "distribution/fanoutstore.h"
+#include "app/storeview.h"
 #include "distribution/relayserver.h"
 #include "flows/flowdirector.h"
 #include "flows/flowtable.h"
 #include "global/hash.h"
 #include "global/seededrandom.h"
 #include "global/systemclock.h"
-#include "membership/leasemembership.h"
 #include "net/libeventhttpconnection.h"
 #include "net/libeventloop.h"
 #include "net/meteredconnection.h"
@@ -23,23 +21,14 @@
 #include "placement/localfirstpolicy.h"
 #include "placement/warmuppacer.h"
 #include "platform/echopacketcodec.h"
-#include "platform/keys.h"
-#include "platform/operatorfeed.h"
-#include "platform/storeclient.h"
-#include "platform/upstreamfeed.h"
 #include "routing/routetable.h"
-#include "routing/routingkeeper.h"
 #include "settings/vmsettingsreader.h"
-#include "store/prefixfollower.h"
-#include "store/prefixpoller.h"
 #include "supervision/supervisor.h"
-#include "switches/freezeswitch.h"
 #include "telemetry/boundedeventlog.h"
 #include "telemetry/descriptorsink.h"
 #include "telemetry/igauge.h"
 #include "telemetry/prometheusmetrics.h"
 #include "telemetry/types/logentry.h"
-#include "upstreams/upstreamkeeper.h"
 #include "upstreams/upstreamregistry.h"
 
 #include <algorithm>
@@ -61,40 +50,12 @@
 //! Part of the memory that records of flows may take.
 constexpr std::size_t kFlowMemoryDivisor = 4;
 
-//! Pauses between two answers of a watch, as parts of the bound of what is watched: changes that
-//! come one after the other then cost one call for all, and are still heard well within the bound.
-constexpr double kUpstreamGatherPart = 0.4;
-constexpr int kOperatorGatherDivisor = 6;
-
-//! A watch whose answer was lost in a silence too short for renewals to notice ends by itself,
-//! while the store does not count as stable again for longer than this.
-constexpr std::chrono::milliseconds kWatchBeyondBound{2000};
-
-//! Membership only bounds who warms up an upstream, where two may err at once.
-constexpr std::chrono::milliseconds kMemberPeriod{2500};
-
-//! Operators who freeze the fleet can wait for so long.
-constexpr std::chrono::milliseconds kSwitchPeriod{5000};
-
 std::size_t flowCapacity(const settings::VmSettings &settings)
 {
     const std::size_t bytes = static_cast<std::size_t>(settings.memoryMb) * 1024 * 1024;
     return bytes / kFlowMemoryDivisor / kFlowBytes;
 }
 
-std::chrono::milliseconds gatherTime(std::chrono::milliseconds drain)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(drain * kUpstreamGatherPart);
-}
-
-std::optional<membership::RelayOffer> relayOffer(const settings::VmSettings &settings)
-{
-    if (!settings.relay) {
-        return std::nullopt;
-    }
-    return membership::RelayOffer{.address = *settings.relay, .mbps = settings.linkMbps};
-}
-
 flows::DirectorLimits directorLimits(const settings::VmSettings &settings, bool isFrozen,
                                      bool isCutOff)
 {
@@ -107,7 +68,7 @@
 
 }
 
-struct VmProcess::Parts : public store::IContactListener
+struct VmProcess::Parts
 {
     Parts(settings::VmSettings given, std::string path)
         : settings(std::move(given)), settingsPath(std::move(path)),
@@ -115,46 +76,23 @@
                  ^ static_cast<std::uint64_t>(this->clock.now().time_since_epoch().count())),
           log(this->clock, this->sink, this->settings.flowLogLines, kLogBufferBytes),
           registry(this->settings.flowMax), table(flowCapacity(this->settings)),
-          policy(this->random), store([this]() { return this->connect(this->settings.store); }),
-          fanout(
-              this->store, this->board, this->clock, this->log,
-              [this](const net::Endpoint &relay) { return this->connect(relay); },
-              this->settings.name),
-          relayServer(this->board, this->clock),
-          membership(this->fanout, this->loop, this->clock, this->log, this->settings.name,
-                     this->settings.dataCentre, relayOffer(this->settings)),
-          upstreamKeeper(this->registry, this->clock, this->log),
-          routingKeeper(this->routes, this->clock, this->log), upstreamFeed(this->upstreamKeeper),
-          operatorFeed(this->routingKeeper),
-          upstreamFollower(this->fanout, this->loop, this->upstreamFeed, platform::kUpstreamPrefix,
-                           {.watchWait = this->settings.drain + kWatchBeyondBound,
-                            .gather = gatherTime(this->settings.drain)}),
-          operatorFollower(this->fanout, this->loop, this->operatorFeed, platform::kOperatorPrefix,
-                           {.watchWait = this->settings.configuration + kWatchBeyondBound,
-                            .gather = this->settings.configuration / kOperatorGatherDivisor}),
-          memberPoller(this->store, this->loop, this->membership,
-                       membership::LeaseMembership::prefix(this->settings.dataCentre),
-                       kMemberPeriod),
-          freeze(this->settings.dataCentre, this->log),
-          freezePoller(this->store, this->loop, this->freeze, switches::FreezeSwitch::prefix(),
-                       kSwitchPeriod),
-          director(this->routes, this->registry, this->membership, this->table, this->policy,
-                   this->pacer, this->settings.name, this->settings.dataCentre,
+          policy(this->random),
+          storeView(this->settings, this->loop, this->clock, this->log, this->routes,
+                    this->registry,
+                    [this](const net::Endpoint &server) { return this->connect(server); }),
+          director(this->routes, this->registry, this->storeView.membership(), this->table,
+                   this->policy, this->pacer, this->settings.name, this->settings.dataCentre,
                    directorLimits(this->settings, false, false)),
           stopPolicy(this->settings.stop),
           readiness(this->director, this->routes, this->registry, this->table, this->stopPolicy,
                     this->clock, this->log, this->settings.dataCentre),
-          pages(this->settings, this->clock, this->routes, this->registry, this->membership,
-                this->table, this->director, this->metrics, this->log),
+          pages(this->settings, this->clock, this->routes, this->registry,
+                this->storeView.membership(), this->table, this->director, this->metrics,
+                this->log),
           packets(this->loop, this->clock, this->codec, this->director, this->log, this->metrics,
                   this->settings.packets),
           servers(this->loop), supervisor("root", this->clock, this->log)
-    {
-        this->fanout.setMembership(this->membership);
-    }
-
-    void onStoreTrouble(const std::string &detail) override;
-    void onStoreReturned() override;
+    { }
 
     //! A connection whose bytes count as control traffic.
     std::unique_ptr<net::IHttpConnection> connect(const net::Endpoint &server);
@@ -184,20 +122,7 @@
     flows::FlowTable table;
     placement::LocalFirstPolicy policy;
     placement::WarmupPacer pacer;
-    platform::StoreClient store;
-    distribution::ChangeBoard board;
-    distribution::FanoutStore fanout;
-    distribution::RelayServer relayServer;
-    membership::LeaseMembership membership;
-    upstreams::UpstreamKeeper upstreamKeeper;
-    routing::RoutingKeeper routingKeeper;
-    platform::UpstreamFeed upstreamFeed;
-    platform::OperatorFeed operatorFeed;
-    store::PrefixFollower upstreamFollower;
-    store::PrefixFollower operatorFollower;
-    store::PrefixPoller memberPoller;
-    switches::FreezeSwitch freeze;
-    store::PrefixPoller freezePoller;
+    StoreView storeView;
     flows::FlowDirector director;
     platform::EchoPacketCodec codec;
     StopPolicy stopPolicy;
@@ -209,22 +134,6 @@
     Reason reason;
 };
 
-void VmProcess::Parts::onStoreTrouble(const std::string &detail)
-{
-    this->readiness.noteStore(false);
-    this->fanout.onStoreTrouble(detail);
-    this->operatorFollower.onStoreTrouble(detail);
-    this->upstreamFollower.onStoreTrouble(detail);
-}
-
-void VmProcess::Parts::onStoreReturned()
-{
-    this->readiness.noteStore(true);
-    this->fanout.onStoreReturned();
-    this->operatorFollower.onStoreReturned();
-    this->upstreamFollower.onStoreReturned();
-}
-
 bool VmProcess::Parts::start()
 {
     this->startedAt = this->clock.now();
@@ -235,12 +144,7 @@
         this->reason = this->supervisor.lastReason();
         return false;
     }
-    this->operatorFollower.start();
-    this->upstreamFollower.start();
-    this->memberPoller.start();
-    this->freezePoller.start();
-    this->membership.watchContact(*this);
-    this->membership.join();
+    this->storeView.start([this](bool answers) { this->readiness.noteStore(answers); });
     this->watchSignals();
     this->loop.every(kTickPeriod, [this]() { this->tick(); });
     this->log.write(LogEntry(LogKind::State, "process.started")
@@ -264,7 +168,7 @@
     if (this->settings.relay) {
         this->servers.add("relay", *this->settings.relay, &distribution::RelayServer::takes,
                           [this](const HttpRequest &request, const Responder &respond) {
-                              this->relayServer.handle(
+                              this->storeView.relay().handle(
                                   request, [this, respond](const net::HttpAnswer &answer) {
                                       this->control.sent += answer.body.size();
                                       respond(answer);
@@ -294,9 +198,7 @@
 {
     const auto now = this->clock.now();
     this->packets.noteAwake();
-    this->upstreamKeeper.tick();
-    this->relayServer.tick();
-    this->fanout.tick();
+    this->storeView.tick();
     this->applyLimits();
     this->table.sweep(now, this->routes.idleTimeout());
     this->pacer.sweep(now);
@@ -312,18 +214,18 @@
 
 void VmProcess::Parts::publishGauges()
 {
-    this->metrics.gauge("store_calls").set(static_cast<double>(this->store.calls()));
+    this->metrics.gauge("store_calls").set(static_cast<double>(this->storeView.calls()));
     this->metrics.gauge("control_sent_bytes").set(static_cast<double>(this->control.sent));
     this->metrics.gauge("control_received_bytes").set(static_cast<double>(this->control.received));
     this->metrics.gauge("relay_followers")
-        .set(static_cast<double>(this->relayServer.waitingCount()));
+        .set(static_cast<double>(this->storeView.relay().waitingCount()));
     this->metrics.gauge("log_lines_left_out").set(static_cast<double>(this->log.leftOut()));
 }
 
 void VmProcess::Parts::applyLimits()
 {
-    this->director.setLimits(
-        directorLimits(this->settings, this->freeze.isFrozen(), this->readiness.isOutOfRotation()));
+    this->director.setLimits(directorLimits(this->settings, this->storeView.isFrozen(),
+                                            this->readiness.isOutOfRotation()));
 }
 
 void VmProcess::Parts::askToStop()
@@ -332,7 +234,7 @@
         return;
     }
     this->stopPolicy.askToStop(this->clock.now());
-    this->membership.leave();
+    this->storeView.leave();
     this->log.write(LogEntry(LogKind::State, "process.stopping"));
     this->loop.every(kStopPeriod, [this]() { this->endWhenQuiet(); });
 }
@@ -346,7 +248,7 @@
             LogEntry(LogKind::State, "process.stopped")
                 .number("flows", static_cast<std::int64_t>(this->table.size()))
                 .duration("uptime_ms", uptime)
-                .number("store_calls", static_cast<std::int64_t>(this->store.calls()))
+                .number("store_calls", static_cast<std::int64_t>(this->storeView.calls()))
                 .number("control_sent_bytes", static_cast<std::int64_t>(this->control.sent))
                 .number("control_received_bytes",
                         static_cast<std::int64_t>(this->control.received)));
--- a/src/distribution/changeboard.h
+++ b/src/distribution/changeboard.h
@@ -1,13 +1,19 @@
 #pragma once
 
 #include "distribution/changelog.h"
+#include "distribution/prefixcopy.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
 
+namespace radishladder::store {
+enum class ReadKind : std::uint8_t;
+}
+
 namespace radishladder::distribution {
 struct RelayAnswer;
 
@@ -18,29 +24,48 @@
 class ChangeBoard
 {
 public:
-    using TimePoint = std::chrono::steady_clock::time_point;
+    //! IClock::sinceBoot(): a VM that was paused must not take what it heard before for new.
+    using BootTime = std::chrono::nanoseconds;
 
     //! Calls \a listener when there are changes, or when this VM can no longer tell.
     void onChange(std::function<void()> listener) { this->listener = std::move(listener); }
 
     //! The store answered a call of this VM, or did not.
-    void noteContact(TimePoint now) { this->contact = now; }
+    void noteContact(BootTime now) { this->contact = now; }
     void noteTrouble();
 
     //! The store answered a watch of \a prefix that asked for changes after \a after.
     void extend(const std::string &prefix, std::uint64_t after, const store::StoreListing &changes);
 
+    //! The store answered a listing of \a prefix.
+    void addPage(const std::string &prefix, const std::string &afterKey,
+                 const store::StoreListing &page, BootTime now);
+
     //! This VM follows \a prefix through a neighbour from now on.
     void forget(const std::string &prefix);
 
+    //! A neighbour answered a listing, or a watch that asked for changes after \a after.
+    void learnListing(const std::string &prefix, const store::StoreListing &listing);
+    void learnChanges(const std::string &prefix, std::uint64_t after,
+                      const store::StoreListing &changes);
+
     //! Answers a neighbour that knows everything up to \a after.
-    RelayAnswer answer(const std::string &prefix, std::uint64_t after, TimePoint now) const;
+    RelayAnswer answer(const std::string &prefix, std::uint64_t after, BootTime now) const;
+
+    //! Hands everything under \a prefix over to a neighbour, as new as \a kind asks for.
+    RelayAnswer copy(const std::string &prefix, store::ReadKind kind, BootTime now) const;
 
 private:
+    bool isFollowing(const std::string &prefix, BootTime now) const;
+    bool wasListed(const std::string &prefix, BootTime now) const;
     void tell() const;
 
     std::map<std::string, ChangeLog> logs;
-    std::optional<TimePoint> contact;
+    std::map<std::string, PrefixCopy> copies;
+
+    //! When the store last answered a listing.
+    std::map<std::string, BootTime> listedAt;
+    std::optional<BootTime> contact;
     std::function<void()> listener;
 };
 }
--- a/src/distribution/fanoutstore.h
+++ b/src/distribution/fanoutstore.h
@@ -21,6 +21,7 @@
 }
 namespace radishladder::net {
 class IHttpConnection;
+struct HttpRequest;
 struct HttpResult;
 }
 namespace radishladder::telemetry {
@@ -29,9 +30,10 @@
 
 namespace radishladder::distribution {
 class ChangeBoard;
+struct RelayAnswer;
 
-//! The platform's store, whose watches go through a neighbour while that one can tell; every other
-//! call, and every watch that a neighbour fails to answer, goes to the store itself.
+//! The platform's store, whose listings and watches go through a neighbour while that one can tell;
+//! every other call, and what a neighbour fails to answer, goes to the store itself.
 class FanoutStore : public store::IStore, public store::IContactListener
 {
 public:
@@ -62,6 +64,7 @@
     void tick();
 
 private:
+    struct Listing;
     struct Watch;
     struct Lane
     {
@@ -69,11 +72,20 @@
         std::chrono::steady_clock::time_point usedAt;
     };
 
+    using RelayHandler = std::function<void(std::optional<RelayAnswer> answer)>;
+
     std::optional<net::Endpoint> pickRelay();
     bool isAvoided(const net::Endpoint &relay) const;
+    void listStore(const Listing &listing);
+    void listRelay(const net::Endpoint &relay, const Listing &listing);
     void watchStore(const Watch &watch);
-    void askRelay(const net::Endpoint &relay, const Watch &watch);
-    void onRelayed(const net::Endpoint &relay, const Watch &watch, const net::HttpResult &result);
+    void watchRelay(const net::Endpoint &relay, const Watch &watch);
+
+    //! Asks \a relay; \a handler hears std::nullopt if it fails.
+    void ask(const net::Endpoint &relay, const std::string &prefix, const net::HttpRequest &request,
+             RelayHandler handler);
+    void noteFailed(const net::Endpoint &relay, const std::string &prefix,
+                    const net::HttpResult &result);
     net::IHttpConnection &connectionTo(const net::Endpoint &relay, const std::string &prefix);
 
     store::IStore &platform;
--- a/src/distribution/internal/changeboard.cpp
+++ b/src/distribution/internal/changeboard.cpp
@@ -1,6 +1,7 @@
 #include "distribution/changeboard.h"
 
 #include "distribution/types/relayanswer.h"
+#include "store/types/readkind.h"
 
 #include <algorithm>
 
@@ -9,6 +10,9 @@
 //! Longer than a period of lease renewals, which show contact while nothing changes.
 constexpr std::chrono::milliseconds kFresh{2600};
 
+//! Longer than two listings of a prefix that is listed now and then are apart.
+constexpr std::chrono::milliseconds kListingAge{6000};
+
 //! A larger value would fill the link of a relay for too long if it is sent to many.
 constexpr std::size_t kLargestValueBytes = 128 * 1024;
 
@@ -28,11 +32,31 @@
                          const store::StoreListing &changes)
 {
     this->logs[prefix].extend(after, changes);
+    this->copies[prefix].extend(after, changes);
     if (!changes.items.empty()) {
         this->tell();
     }
 }
 
+void ChangeBoard::addPage(const std::string &prefix, const std::string &afterKey,
+                          const store::StoreListing &page, BootTime now)
+{
+    this->copies[prefix].addPage(afterKey, page);
+    this->listedAt[prefix] = now;
+}
+
+void ChangeBoard::learnListing(const std::string &prefix, const store::StoreListing &listing)
+{
+    this->copies[prefix].addPage("", listing);
+    this->listedAt.erase(prefix);
+}
+
+void ChangeBoard::learnChanges(const std::string &prefix, std::uint64_t after,
+                               const store::StoreListing &changes)
+{
+    this->copies[prefix].extend(after, changes);
+}
+
 void ChangeBoard::forget(const std::string &prefix)
 {
     if (this->logs.erase(prefix) > 0) {
@@ -47,19 +71,48 @@
     }
 }
 
-RelayAnswer ChangeBoard::answer(const std::string &prefix, std::uint64_t after, TimePoint now) const
+bool ChangeBoard::isFollowing(const std::string &prefix, BootTime now) const
+{
+    return this->logs.contains(prefix) && this->contact && now - *this->contact <= kFresh;
+}
+
+bool ChangeBoard::wasListed(const std::string &prefix, BootTime now) const
+{
+    const auto listed = this->listedAt.find(prefix);
+    return listed != this->listedAt.end() && now - listed->second <= kListingAge;
+}
+
+RelayAnswer ChangeBoard::copy(const std::string &prefix, store::ReadKind kind, BootTime now) const
+{
+    const auto copy = this->copies.find(prefix);
+    const bool isNew = this->isFollowing(prefix, now)
+        || (kind == store::ReadKind::Stale && this->wasListed(prefix, now));
+    if (!isNew || copy == this->copies.end()) {
+        return {.verdict = RelayVerdict::Unable};
+    }
+    auto listing = copy->second.listing();
+    if (!listing) {
+        return {.verdict = RelayVerdict::Unable};
+    }
+    if (std::ranges::any_of(listing->items, isTooLarge)) {
+        return {.verdict = RelayVerdict::AskStore};
+    }
+    return {.verdict = RelayVerdict::Changes, .listing = std::move(*listing)};
+}
+
+RelayAnswer ChangeBoard::answer(const std::string &prefix, std::uint64_t after, BootTime now) const
 {
-    const auto log = this->logs.find(prefix);
-    if (log == this->logs.end() || !this->contact || now - *this->contact > kFresh) {
+    if (!this->isFollowing(prefix, now)) {
         return {.verdict = RelayVerdict::Unable};
     }
-    auto items = log->second.since(after);
+    const ChangeLog &log = this->logs.at(prefix);
+    auto items = log.since(after);
     if (!items) {
         return {.verdict = RelayVerdict::Unable};
     }
     RelayAnswer answer{.verdict = RelayVerdict::Nothing};
     answer.listing.status = store::StoreStatus::Ok;
-    answer.listing.revision = std::max(after, log->second.end());
+    answer.listing.revision = std::max(after, log.end());
     if (std::ranges::any_of(*items, isTooLarge)) {
         answer.verdict = RelayVerdict::AskStore;
     } else if (!items->empty()) {
--- a/src/distribution/internal/fanoutstore.cpp
+++ b/src/distribution/internal/fanoutstore.cpp
@@ -3,6 +3,7 @@
 #include "distribution/changeboard.h"
 #include "distribution/relaychoice.h"
 #include "distribution/relaycodec.h"
+#include "distribution/relaypaths.h"
 #include "global/iclock.h"
 #include "net/ihttpconnection.h"
 #include "net/query.h"
@@ -25,12 +26,23 @@
 constexpr std::chrono::milliseconds kRelayWait{1000};
 constexpr std::chrono::milliseconds kRelayMargin{600};
 
+//! A VM that starts asks the store if a neighbour takes longer.
+constexpr std::chrono::milliseconds kListingTimeout{250};
+
 constexpr std::chrono::milliseconds kAvoidFailed{5000};
 
 //! Longer than any request to a neighbour takes.
 constexpr std::chrono::milliseconds kLaneIdle{10000};
 }
 
+struct FanoutStore::Listing
+{
+    std::string prefix;
+    std::string afterKey;
+    store::ReadKind kind = store::ReadKind::Linearizable;
+    ListingHandler handler;
+};
+
 struct FanoutStore::Watch
 {
     std::string prefix;
@@ -50,7 +62,44 @@
 void FanoutStore::list(const std::string &prefix, const std::string &afterKey, store::ReadKind kind,
                        ListingHandler handler)
 {
-    this->platform.list(prefix, afterKey, kind, std::move(handler));
+    const Listing listing{prefix, afterKey, kind, std::move(handler)};
+    const auto relay = afterKey.empty() && !this->inTrouble ? this->pickRelay() : std::nullopt;
+    if (relay) {
+        this->listRelay(*relay, listing);
+    } else {
+        this->listStore(listing);
+    }
+}
+
+void FanoutStore::listStore(const Listing &listing)
+{
+    this->platform.list(listing.prefix, listing.afterKey, listing.kind,
+                        [this, listing](const store::StoreListing &page) {
+                            const auto now = this->clock.sinceBoot();
+                            if (page.status == StoreStatus::Ok) {
+                                this->board.addPage(listing.prefix, listing.afterKey, page, now);
+                            }
+                            listing.handler(page);
+                        });
+}
+
+void FanoutStore::listRelay(const net::Endpoint &relay, const Listing &listing)
+{
+    const bool isStale = listing.kind == store::ReadKind::Stale;
+    const net::HttpRequest request{.path = std::string(kListingPath),
+                                   .query =
+                                       absl::StrCat("prefix=", net::percentEncoded(listing.prefix),
+                                                    "&stale=", isStale ? 1 : 0),
+                                   .timeout = kListingTimeout};
+    this->ask(relay, listing.prefix, request,
+              [this, listing](const std::optional<RelayAnswer> &answer) {
+                  if (!answer || answer->verdict != RelayVerdict::Changes) {
+                      this->listStore(listing);
+                      return;
+                  }
+                  this->board.learnListing(listing.prefix, answer->listing);
+                  listing.handler(answer->listing);
+              });
 }
 
 void FanoutStore::watch(const std::string &prefix, std::uint64_t revision,
@@ -60,7 +109,7 @@
     // Who wants an answer sooner than a neighbour gives one asks whether the store is there.
     const auto relay = wait < kRelayWait || this->inTrouble ? std::nullopt : this->pickRelay();
     if (relay) {
-        this->askRelay(*relay, watch);
+        this->watchRelay(*relay, watch);
     } else {
         this->watchStore(watch);
     }
@@ -92,47 +141,56 @@
     this->platform.watch(watch.prefix, watch.revision, watch.wait,
                          [this, watch](const store::StoreListing &answer) {
                              if (answer.status == StoreStatus::Ok) {
-                                 this->board.noteContact(this->clock.now());
+                                 this->board.noteContact(this->clock.sinceBoot());
                                  this->board.extend(watch.prefix, watch.revision, answer);
                              }
                              watch.handler(answer);
                          });
 }
 
-void FanoutStore::askRelay(const net::Endpoint &relay, const Watch &watch)
+void FanoutStore::watchRelay(const net::Endpoint &relay, const Watch &watch)
 {
     this->board.forget(watch.prefix);
     const net::HttpRequest request{
-        .path = "/changes",
+        .path = std::string(kChangesPath),
         .query = absl::StrCat("prefix=", net::percentEncoded(watch.prefix),
                               "&after=", watch.revision, "&wait_ms=", kRelayWait.count()),
         .timeout = kRelayWait + kRelayMargin};
-    this->connectionTo(relay, watch.prefix)
-        .send(request, [this, relay, watch](const net::HttpResult &result) {
-            this->onRelayed(relay, watch, result);
+    this->ask(relay, watch.prefix, request,
+              [this, watch](const std::optional<RelayAnswer> &answer) {
+                  if (!answer || answer->verdict == RelayVerdict::AskStore) {
+                      this->watchStore(watch);
+                      return;
+                  }
+                  this->board.learnChanges(watch.prefix, watch.revision, answer->listing);
+                  watch.handler(answer->listing);
+              });
+}
+
+void FanoutStore::ask(const net::Endpoint &relay, const std::string &prefix,
+                      const net::HttpRequest &request, RelayHandler handler)
+{
+    this->connectionTo(relay, prefix)
+        .send(request, [this, relay, prefix, handler](const net::HttpResult &result) {
+            auto answer = result.status == 200 ? parseRelayText(result.body) : std::nullopt;
+            if (answer) {
+                answer->listing.isRelayed = true;
+            } else {
+                this->noteFailed(relay, prefix, result);
+            }
+            handler(std::move(answer));
         });
 }
 
-void FanoutStore::onRelayed(const net::Endpoint &relay, const Watch &watch,
-                            const net::HttpResult &result)
+void FanoutStore::noteFailed(const net::Endpoint &relay, const std::string &prefix,
+                             const net::HttpResult &result)
 {
-    auto answer = result.status == 200 ? parseRelayText(result.body) : std::nullopt;
-    if (!answer) {
-        this->avoidedUntil[relay] = this->clock.now() + kAvoidFailed;
-        this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "relay.failed")
-                            .text("relay", net::endpointText(relay))
-                            .text("prefix", watch.prefix)
-                            .number("status", result.status)
-                            .text("detail", result.reason.detail));
-        this->watchStore(watch);
-        return;
-    }
-    if (answer->verdict == RelayVerdict::AskStore) {
-        this->watchStore(watch);
-        return;
-    }
-    answer->listing.isRelayed = true;
-    watch.handler(answer->listing);
+    this->avoidedUntil[relay] = this->clock.now() + kAvoidFailed;
+    this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "relay.failed")
+                        .text("relay", net::endpointText(relay))
+                        .text("prefix", prefix)
+                        .number("status", result.status)
+                        .text("detail", result.reason.detail));
 }
 
 net::IHttpConnection &FanoutStore::connectionTo(const net::Endpoint &relay,
@@ -163,7 +221,7 @@
     this->platform.renewLease(
         lease, [this, handler = std::move(handler)](const store::StoreLease &renewed) {
             if (renewed.status == StoreStatus::Ok) {
-                this->board.noteContact(this->clock.now());
+                this->board.noteContact(this->clock.sinceBoot());
             }
             handler(renewed);
         });
--- a/src/distribution/internal/relayserver.cpp
+++ b/src/distribution/internal/relayserver.cpp
@@ -2,10 +2,12 @@
 
 #include "distribution/changeboard.h"
 #include "distribution/relaycodec.h"
+#include "distribution/relaypaths.h"
 #include "global/iclock.h"
 #include "net/query.h"
 #include "net/types/httpanswer.h"
 #include "net/types/httprequest.h"
+#include "store/types/readkind.h"
 
 #include <absl/strings/numbers.h>
 
@@ -15,30 +17,77 @@
 
 //! Keeps memory bounded if neighbours ask again and again without waiting for an answer.
 constexpr std::size_t kMostWaiting = 1024;
+
+//! Listings sent between two ticks, in bytes; more would hold changes up on a narrow link.
+constexpr std::size_t kListingBytes = 512 * 1024;
+
+std::string fieldOf(const std::map<std::string, std::string> &fields, const char *name)
+{
+    const auto field = fields.find(name);
+    return field == fields.end() ? std::string() : field->second;
+}
 }
 
-RelayServer::RelayServer(ChangeBoard &board, const IClock &clock) : board(board), clock(clock)
+RelayServer::RelayServer(ChangeBoard &board, const IClock &clock)
+    : board(board), clock(clock), listingBudget(kListingBytes)
 {
     this->board.onChange([this]() { this->answerWaiting(); });
 }
 
 bool RelayServer::takes(const std::string &path)
 {
-    return path == "/changes";
+    return path == kChangesPath || path == kListingPath;
+}
+
+void RelayServer::tick()
+{
+    this->listingBudget = kListingBytes;
+    this->answerWaiting();
 }
 
 void RelayServer::handle(const net::HttpRequest &request,
                          const net::IHttpServer::Responder &respond)
+{
+    if (request.path == kListingPath) {
+        this->handleListing(request, respond);
+    } else {
+        this->handleChanges(request, respond);
+    }
+}
+
+void RelayServer::handleListing(const net::HttpRequest &request,
+                                const net::IHttpServer::Responder &respond)
+{
+    const auto fields = net::queryFields(request.query);
+    const std::string stale = fieldOf(fields, "stale");
+    if (stale != "0" && stale != "1") {
+        respond({.status = 400, .body = R"({"error":"GET /listing?prefix=&stale="})"});
+        return;
+    }
+    const auto kind = stale == "1" ? store::ReadKind::Stale : store::ReadKind::Linearizable;
+    const RelayAnswer answer =
+        this->board.copy(fieldOf(fields, "prefix"), kind, this->clock.sinceBoot());
+    if (answer.verdict == RelayVerdict::Unable) {
+        respond({.status = 503, .body = "{}"});
+        return;
+    }
+    std::string text = relayText(answer);
+    if (text.size() > this->listingBudget) {
+        respond({.status = 503, .body = "{}"});
+        return;
+    }
+    this->listingBudget -= text.size();
+    respond({.body = std::move(text)});
+}
+
+void RelayServer::handleChanges(const net::HttpRequest &request,
+                                const net::IHttpServer::Responder &respond)
 {
     const auto fields = net::queryFields(request.query);
-    const auto textOf = [&fields](const char *name) {
-        const auto field = fields.find(name);
-        return field == fields.end() ? std::string() : field->second;
-    };
-    Waiting question{.prefix = textOf("prefix"), .respond = respond};
+    Waiting question{.prefix = fieldOf(fields, "prefix"), .respond = respond};
     std::int64_t waitMs = 0;
-    if (!absl::SimpleAtoi(textOf("after"), &question.after)
-        || !absl::SimpleAtoi(textOf("wait_ms"), &waitMs) || waitMs < 0) {
+    if (!absl::SimpleAtoi(fieldOf(fields, "after"), &question.after)
+        || !absl::SimpleAtoi(fieldOf(fields, "wait_ms"), &waitMs) || waitMs < 0) {
         respond({.status = 400, .body = R"({"error":"GET /changes?prefix=&after=&wait_ms="})"});
         return;
     }
@@ -57,7 +106,8 @@
 bool RelayServer::tryAnswer(const Waiting &question, Texts &texts) const
 {
     const auto now = this->clock.now();
-    const RelayAnswer answer = this->board.answer(question.prefix, question.after, now);
+    const RelayAnswer answer =
+        this->board.answer(question.prefix, question.after, this->clock.sinceBoot());
     if (answer.verdict == RelayVerdict::Unable) {
         question.respond({.status = 503, .body = "{}"});
         return true;
--- a/src/distribution/relayserver.h
+++ b/src/distribution/relayserver.h
@@ -16,20 +16,20 @@
 namespace radishladder::distribution {
 class ChangeBoard;
 
-//! Answers neighbours that follow the store through this VM: GET /changes with "prefix", "after" (a
-//! revision) and "wait_ms"; 503 if this VM cannot tell.
+//! Answers neighbours that follow the store through this VM, or start from what it knows (see
+//! relaypaths.h); 503 if this VM cannot tell.
 class RelayServer
 {
 public:
     RelayServer(ChangeBoard &board, const IClock &clock);
 
-    //! True if \a path is the one that neighbours ask for.
+    //! True if \a path is one that neighbours ask for.
     static bool takes(const std::string &path);
 
     void handle(const net::HttpRequest &request, const net::IHttpServer::Responder &respond);
 
     //! Answers those who have waited long enough; call it a few times a second.
-    void tick() { this->answerWaiting(); }
+    void tick();
 
     std::size_t waitingCount() const { return this->waiting.size(); }
 
@@ -45,6 +45,9 @@
     //! Texts of answers by prefix and revision, for many who ask the same.
     using Texts = std::map<std::pair<std::string, std::uint64_t>, std::string>;
 
+    void handleChanges(const net::HttpRequest &request, const net::IHttpServer::Responder &respond);
+    void handleListing(const net::HttpRequest &request, const net::IHttpServer::Responder &respond);
+
     //! False if there is nothing to say yet.
     bool tryAnswer(const Waiting &question, Texts &texts) const;
     void answerWaiting();
@@ -52,5 +55,8 @@
     ChangeBoard &board;
     const IClock &clock;
     std::vector<Waiting> waiting;
+
+    //! Bytes of listings that may be sent until the next tick.
+    std::size_t listingBudget;
 };
 }
--- a/src/membership/internal/leasemembership.cpp
+++ b/src/membership/internal/leasemembership.cpp
@@ -13,6 +13,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
+#include <algorithm>
 #include <set>
 
 namespace radishladder::membership {
@@ -23,11 +24,15 @@
 constexpr std::chrono::milliseconds kRenewEvery{2000};
 constexpr std::chrono::milliseconds kRetryAfter{500};
 
+//! Between the beginnings of two calls; also bounds how long the store's return stays unnoticed.
+constexpr std::chrono::milliseconds kFirstInterval{500};
+constexpr std::chrono::milliseconds kLongestInterval{2000};
+
 //! Covers the time in which a VM with a lapsed lease takes a new one.
 constexpr std::chrono::milliseconds kLeaveGrace{6000};
 
-//! Longer than two polls of the others are apart.
-constexpr std::chrono::milliseconds kSettleTime{5000};
+//! Longer than two listings of the others are apart, one of them by way of a relay.
+constexpr std::chrono::milliseconds kSettleTime{8000};
 
 //! "vms/DATA CENTRE/VM".
 std::string keyOf(const DataCentreName &dataCentre, const VmName &vm)
@@ -57,7 +62,8 @@
                                  telemetry::IEventLog &log, VmName self, DataCentreName dataCentre,
                                  std::optional<RelayOffer> relay)
     : store(store), loop(loop), clock(clock), log(log), self(std::move(self)),
-      dataCentre(std::move(dataCentre)), relay(relay), current{this->self}
+      dataCentre(std::move(dataCentre)), relay(relay),
+      retryInterval(kFirstInterval), current{this->self}
 { }
 
 std::string LeaseMembership::prefix(const DataCentreName &dataCentre)
@@ -158,6 +164,7 @@
         return;
     }
     this->acquiring = true;
+    this->calledAt = this->clock.now();
     this->lease = 0;
     this->store.grantLease(kLeaseTime, [this](const store::StoreLease &granted) {
         this->acquiring = false;
@@ -176,6 +183,7 @@
     if (this->leaving) {
         return;
     }
+    this->calledAt = this->clock.now();
     const store::StoreWrite own{.key = keyOf(this->dataCentre, this->self),
                                 .value = this->relay ? textOf(*this->relay) : "",
                                 .lease = this->lease};
@@ -197,6 +205,7 @@
     if (this->leaving) {
         return;
     }
+    this->calledAt = this->clock.now();
     this->store.renewLease(this->lease, [this](const store::StoreLease &renewed) {
         if (renewed.status == store::StoreStatus::Missing) {
             this->acquire();
@@ -220,15 +229,27 @@
             this->contactListener->onStoreTrouble(detail);
         }
     }
-    this->loop.after(kRetryAfter, [this, step, held = this->lease]() {
+    this->loop.after(this->nextRetry(), [this, step, held = this->lease]() {
         if (held == this->lease) {
             (this->*step)();
         }
     });
 }
 
+std::chrono::milliseconds LeaseMembership::nextRetry()
+{
+    // Load pattern: every VM of a fleet calls a store that refuses at once. A store that is silent
+    // has used the time up already.
+    const auto taken =
+        std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now() - this->calledAt);
+    const auto delay = std::max(kRetryAfter, this->retryInterval - taken);
+    this->retryInterval = std::min(this->retryInterval * 2, kLongestInterval);
+    return delay;
+}
+
 void LeaseMembership::noteAnswer()
 {
+    this->retryInterval = kFirstInterval;
     if (!this->inTrouble) {
         return;
     }
--- a/src/membership/leasemembership.h
+++ b/src/membership/leasemembership.h
@@ -69,6 +69,7 @@
     void keep();
     void keepLater();
     void noteAnswer();
+    std::chrono::milliseconds nextRetry();
     void retry(void (LeaseMembership::*step)(), const std::string &detail);
 
     store::IStore &store;
@@ -81,6 +82,8 @@
     std::uint64_t lease = 0;
     store::IContactListener *contactListener = nullptr;
     bool inTrouble = false;
+    TimePoint calledAt;
+    std::chrono::milliseconds retryInterval;
     bool acquiring = false;
     bool leaving = false;
     std::optional<TimePoint> joinedAt;
--- a/src/store/internal/prefixfollower.cpp
+++ b/src/store/internal/prefixfollower.cpp
@@ -66,7 +66,8 @@
     this->synchronized = true;
     this->listener.onSnapshot(items);
     this->listener.onUpToDate();
-    this->schedule(this->pacing.gather, &PrefixFollower::watch);
+    this->schedule(page.isRelayed ? this->pacing.relayedGather : this->pacing.gather,
+                   &PrefixFollower::watch);
 }
 
 void PrefixFollower::watch()
--- a/src/store/internal/prefixpoller.cpp
+++ b/src/store/internal/prefixpoller.cpp
@@ -12,7 +12,13 @@
     : store(store), loop(loop), listener(listener), prefix(std::move(prefix)), period(period)
 { }
 
-void PrefixPoller::start()
+void PrefixPoller::start(std::function<void()> onFirst)
+{
+    this->onFirst = std::move(onFirst);
+    this->list();
+}
+
+void PrefixPoller::list()
 {
     this->pages.clear();
     this->listFrom("");
@@ -32,7 +38,7 @@
 {
     if (page.status != StoreStatus::Ok) {
         this->listener.onContactLost(page.detail);
-        this->listLater();
+        this->finish();
         return;
     }
     this->pages.insert(this->pages.end(), page.items.begin(), page.items.end());
@@ -41,6 +47,16 @@
         return;
     }
     this->listener.onSnapshot(this->pages);
+    this->finish();
+}
+
+void PrefixPoller::finish()
+{
+    if (this->onFirst) {
+        const auto once = std::move(this->onFirst);
+        this->onFirst = nullptr;
+        once();
+    }
     this->listLater();
 }
 
@@ -48,7 +64,7 @@
 {
     this->loop.after(this->period, [this, guard = std::weak_ptr<int>(this->alive)]() {
         if (!guard.expired()) {
-            this->start();
+            this->list();
         }
     });
 }
--- a/src/store/prefixpoller.h
+++ b/src/store/prefixpoller.h
@@ -3,6 +3,7 @@
 #include "store/types/storeitem.h"
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -23,9 +24,12 @@
     PrefixPoller(IStore &store, net::IEventLoop &loop, IPrefixListener &listener,
                  std::string prefix, std::chrono::milliseconds period);
 
-    void start();
+    //! Begins to list; \a onFirst is called once, after the first answer or failure.
+    void start(std::function<void()> onFirst = nullptr);
 
 private:
+    void list();
+    void finish();
     void listFrom(const std::string &afterKey);
     void onPage(const StoreListing &page);
     void listLater();
@@ -36,6 +40,7 @@
     std::string prefix;
     std::chrono::milliseconds period;
     std::vector<StoreItem> pages;
+    std::function<void()> onFirst;
 
     //! Expires with this object, so that late answers and timers find out.
     std::shared_ptr<int> alive = std::make_shared<int>(0);
