Let a fleet that starts for the first time list through relays

Change: with the setting firstStart a VM joins, lists members after 0.7 s, and follows the store then, 0.4 s later if it has a relay. A giver that has sent enough says so (askStore) and is asked again later; 1 MB a tick.

--- a/src/app/storeview.cpp
+++ b/src/app/storeview.cpp
@@ -25,6 +25,12 @@
 //! Time in which a store that is well has told who the neighbours are.
 constexpr std::chrono::milliseconds kMemberWait{60};
 
+//! Time in which all VMs of a system that starts have become members.
+constexpr std::chrono::milliseconds kFirstStartWait{700};
+
+//! Time in which relays have listed everything.
+constexpr std::chrono::milliseconds kRelayStartWait{400};
+
 std::chrono::milliseconds gatherTime(std::chrono::milliseconds drain)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(drain * kUpstreamGatherPart);
@@ -42,7 +48,8 @@
 StoreView::StoreView(const settings::VmSettings &settings, net::IEventLoop &loop,
                      const IClock &clock, telemetry::IEventLog &log, routing::RouteTable &routes,
                      upstreams::UpstreamRegistry &registry, const Connect &connect)
-    : loop(loop), store([connect, server = settings.store]() { return connect(server); }),
+    : loop(loop), firstStart(settings.firstStart),
+      store([connect, server = settings.store]() { return connect(server); }),
       fanout(this->store, this->board, clock, log, connect, settings.name),
       relayServer(this->board, clock), members(this->fanout, loop, clock, log, settings.name,
                                                settings.dataCentre, relayOffer(settings)),
@@ -70,12 +77,30 @@
     this->contactHandler = std::move(handler);
     this->members.watchContact(*this);
     this->members.join();
+    if (this->firstStart) {
+        this->loop.after(kFirstStartWait, [this]() { this->startAfterMembers(); });
+    } else {
+        this->startWithMembers();
+    }
+}
+
+void StoreView::startWithMembers()
+{
     // Members show which neighbours can hand over what the store says; a store that is slow to name
     // them is asked itself.
     this->memberPoller.start([this]() { this->follow(); });
     this->loop.after(kMemberWait, [this]() { this->follow(); });
 }
 
+void StoreView::startAfterMembers()
+{
+    // Load pattern: a whole fleet starts, and each VM that did not wait would list everything.
+    this->memberPoller.start([this]() {
+        const auto wait = this->fanout.hasRelay() ? kRelayStartWait : std::chrono::milliseconds(0);
+        this->loop.after(wait, [this]() { this->follow(); });
+    });
+}
+
 void StoreView::follow()
 {
     if (this->isFollowing) {
--- a/src/app/storeview.h
+++ b/src/app/storeview.h
@@ -74,9 +74,12 @@
 private:
     void onStoreTrouble(const std::string &detail) override;
     void onStoreReturned() override;
+    void startWithMembers();
+    void startAfterMembers();
     void follow();
 
     net::IEventLoop &loop;
+    bool firstStart;
     platform::StoreClient store;
     distribution::ChangeBoard board;
     distribution::FanoutStore fanout;
--- a/src/distribution/fanoutstore.h
+++ b/src/distribution/fanoutstore.h
@@ -47,6 +47,9 @@
     //! Says through whom this VM may follow; without it every watch goes to the store.
     void setMembership(const membership::IMembership &known) { this->membership = &known; }
 
+    //! True if this VM may follow the store through a neighbour.
+    bool hasRelay() const;
+
     void list(const std::string &prefix, const std::string &afterKey, store::ReadKind kind,
               ListingHandler handler) override;
     void watch(const std::string &prefix, std::uint64_t revision, std::chrono::milliseconds wait,
--- a/src/distribution/internal/fanoutstore.cpp
+++ b/src/distribution/internal/fanoutstore.cpp
@@ -93,7 +93,7 @@
                                    .timeout = kListingTimeout};
     this->ask(relay, listing.prefix, request,
               [this, listing](const std::optional<RelayAnswer> &answer) {
-                  if (!answer || answer->verdict != RelayVerdict::Changes) {
+                  if (!answer || answer->verdict == RelayVerdict::AskStore) {
                       this->listStore(listing);
                       return;
                   }
@@ -128,6 +128,11 @@
     return std::nullopt;
 }
 
+bool FanoutStore::hasRelay() const
+{
+    return this->membership != nullptr && !relaysFor(this->self, *this->membership).empty();
+}
+
 bool FanoutStore::isAvoided(const net::Endpoint &relay) const
 {
     const auto failed = this->avoidedUntil.find(relay);
--- a/src/distribution/internal/relayserver.cpp
+++ b/src/distribution/internal/relayserver.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t kMostWaiting = 1024;
 
 //! Listings sent between two ticks, in bytes; more would hold changes up on a narrow link.
-constexpr std::size_t kListingBytes = 512 * 1024;
+constexpr std::size_t kListingBytes = 1024 * 1024;
 
 std::string fieldOf(const std::map<std::string, std::string> &fields, const char *name)
 {
@@ -73,7 +73,7 @@
     }
     std::string text = relayText(answer);
     if (text.size() > this->listingBudget) {
-        respond({.status = 503, .body = "{}"});
+        respond({.body = relayText({.verdict = RelayVerdict::AskStore})});
         return;
     }
     this->listingBudget -= text.size();
--- a/src/distribution/types/relayanswer.h
+++ b/src/distribution/types/relayanswer.h
@@ -10,7 +10,7 @@
     Changes, //!< the listing holds them
     Nothing, //!< none so far
     Unable, //!< this VM cannot tell; ask another one or the store
-    AskStore, //!< there are changes, too large to pass on
+    AskStore, //!< there is something, too large to pass on now
 };
 
 //! What a VM tells a neighbour that follows a prefix through it.
--- a/src/settings/internal/vmsettingsreader.cpp
+++ b/src/settings/internal/vmsettingsreader.cpp
@@ -82,6 +82,7 @@
     settings.operations = reader.endpoint("operations");
     settings.relay = reader.endpointIfGiven("relay");
     settings.store = reader.endpoint("store");
+    settings.firstStart = reader.booleanOr("firstStart", false);
     settings.automaticActions = reader.booleanOr("automaticActions", true);
     settings.flowLogLines = static_cast<int>(
         reader.integerOr("flowLogLinesPerSecond", 0, kMostLogLines, settings.flowLogLines));
--- a/src/settings/types/vmsettings.h
+++ b/src/settings/types/vmsettings.h
@@ -27,6 +27,9 @@
     //! not.
     std::optional<net::Endpoint> relay;
 
+    //! The whole system starts for the first time, and nobody waits to be served yet.
+    bool firstStart = false;
+
     //! The platform's store.
     net::Endpoint store;
 
