Let relays tell of what they have listed at once

Change: a linearizable listing begins the log of changes; a neighbour that cannot tell is avoided for 0.8 s.

--- a/src/distribution/changeboard.h
+++ b/src/distribution/changeboard.h
@@ -37,8 +37,9 @@
     //! The store answered a watch of \a prefix that asked for changes after \a after.
     void extend(const std::string &prefix, std::uint64_t after, const store::StoreListing &changes);
 
-    //! The store answered a listing of \a prefix.
-    void addPage(const std::string &prefix, const std::string &afterKey,
+    //! The store answered a listing of \a prefix. This VM will follow what is listed by a
+    //! linearizable read, so it can tell neighbours of it from then on.
+    void addPage(const std::string &prefix, store::ReadKind kind, const std::string &afterKey,
                  const store::StoreListing &page, BootTime now);
 
     //! This VM follows \a prefix through a neighbour from now on.
--- a/src/distribution/internal/changeboard.cpp
+++ b/src/distribution/internal/changeboard.cpp
@@ -38,17 +38,26 @@
     }
 }
 
-void ChangeBoard::addPage(const std::string &prefix, const std::string &afterKey,
-                          const store::StoreListing &page, BootTime now)
+void ChangeBoard::addPage(const std::string &prefix, store::ReadKind kind,
+                          const std::string &afterKey, const store::StoreListing &page,
+                          BootTime now)
 {
-    this->copies[prefix].addPage(afterKey, page);
+    PrefixCopy &copy = this->copies[prefix];
+    copy.addPage(afterKey, page);
     this->listedAt[prefix] = now;
+    const auto listing = copy.listing();
+    if (kind == store::ReadKind::Stale || !listing) {
+        return;
+    }
+    this->noteContact(now);
+    this->logs[prefix].extend(listing->revision, {.revision = listing->revision});
 }
 
 void ChangeBoard::learnListing(const std::string &prefix, const store::StoreListing &listing)
 {
     this->copies[prefix].addPage("", listing);
     this->listedAt.erase(prefix);
+    this->logs.erase(prefix);
 }
 
 void ChangeBoard::learnChanges(const std::string &prefix, std::uint64_t after,
--- a/src/distribution/internal/fanoutstore.cpp
+++ b/src/distribution/internal/fanoutstore.cpp
@@ -31,6 +31,10 @@
 
 constexpr std::chrono::milliseconds kAvoidFailed{5000};
 
+//! A neighbour that cannot tell may have started just now.
+constexpr std::chrono::milliseconds kAvoidUnable{800};
+constexpr int kUnable = 503;
+
 //! Longer than any request to a neighbour takes.
 constexpr std::chrono::milliseconds kLaneIdle{10000};
 }
@@ -77,7 +81,8 @@
                         [this, listing](const store::StoreListing &page) {
                             const auto now = this->clock.sinceBoot();
                             if (page.status == StoreStatus::Ok) {
-                                this->board.addPage(listing.prefix, listing.afterKey, page, now);
+                                this->board.addPage(listing.prefix, listing.kind, listing.afterKey,
+                                                    page, now);
                             }
                             listing.handler(page);
                         });
@@ -190,7 +195,8 @@
 void FanoutStore::noteFailed(const net::Endpoint &relay, const std::string &prefix,
                              const net::HttpResult &result)
 {
-    this->avoidedUntil[relay] = this->clock.now() + kAvoidFailed;
+    const bool isUnable = result.status == kUnable;
+    this->avoidedUntil[relay] = this->clock.now() + (isUnable ? kAvoidUnable : kAvoidFailed);
     this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "relay.failed")
                         .text("relay", net::endpointText(relay))
                         .text("prefix", prefix)
