Have relays tell when the store is lost and back, and renew leases less often behind them

Renewals each 2 s served only to notice an outage before entries lapse in it. Change: a relay that loses the store answers 502; its neighbours then treat the store as lost, ask it themselves once, and until it answers ask the relay each second (GET /contact). Behind a relay that answers, a lease is renewed each 5 s of its 12. After trouble watches go to relays too, which tell of a prefix only once the store has told them of it again: a renewal that is answered does not show what was missed (changeboardtest, row that fails first). Timers of the lease have one generation.

--- a/src/app/storeview.cpp
+++ b/src/app/storeview.cpp
@@ -76,6 +76,13 @@
 {
     this->contactHandler = std::move(handler);
     this->members.watchContact(*this);
+    this->fanout.watchGuide([this](bool answers) {
+        if (answers) {
+            this->members.check();
+        } else {
+            this->members.suspectStore("a relay has lost the store");
+        }
+    });
     this->members.join();
     if (this->firstStart) {
         this->loop.after(kFirstStartWait, [this]() { this->startAfterMembers(); });
@@ -117,6 +124,7 @@
     this->upstreamKeeper.tick();
     this->relayServer.tick();
     this->fanout.tick();
+    this->members.setGuided(this->fanout.isGuided());
 }
 
 void StoreView::onStoreTrouble(const std::string &detail)
--- a/src/distribution/changeboard.h
+++ b/src/distribution/changeboard.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace radishladder::store {
@@ -34,6 +35,12 @@
     void noteContact(BootTime now) { this->contact = now; }
     void noteTrouble();
 
+    //! True if the store answered a call of this VM lately.
+    bool hasContact(BootTime now) const;
+
+    //! A watch of \a prefix asks the store for changes after \a after.
+    void follow(const std::string &prefix, std::uint64_t after);
+
     //! The store answered a watch of \a prefix that asked for changes after \a after.
     void extend(const std::string &prefix, std::uint64_t after, const store::StoreListing &changes);
 
@@ -64,6 +71,9 @@
     std::map<std::string, ChangeLog> logs;
     std::map<std::string, PrefixCopy> copies;
 
+    //! Prefixes of which nothing was heard since the store was last lost.
+    std::set<std::string> unconfirmed;
+
     //! When the store last answered a listing.
     std::map<std::string, BootTime> listedAt;
     std::optional<BootTime> contact;
--- a/src/distribution/fanoutstore.h
+++ b/src/distribution/fanoutstore.h
@@ -63,7 +63,15 @@
     void onStoreTrouble(const std::string &detail) override;
     void onStoreReturned() override;
 
-    //! Closes connections to neighbours that are no longer asked; call it now and then.
+    //! Hears from a neighbour that the store is lost, or answers again.
+    using GuideHandler = std::function<void(bool answers)>;
+    void watchGuide(GuideHandler handler) { this->guideHandler = std::move(handler); }
+
+    //! True if a neighbour that is followed would tell at once that the store is lost or back.
+    bool isGuided() const;
+
+    //! Closes connections that are no longer used, and asks a neighbour for the store while that is
+    //! lost; call it a few times a second.
     void tick();
 
 private:
@@ -87,6 +95,8 @@
     //! Asks \a relay; \a handler hears std::nullopt if it fails.
     void ask(const net::Endpoint &relay, const std::string &prefix, const net::HttpRequest &request,
              RelayHandler handler);
+    void askForContact();
+    void guide(bool answers);
     void noteFailed(const net::Endpoint &relay, const std::string &prefix,
                     const net::HttpResult &result);
     net::IHttpConnection &connectionTo(const net::Endpoint &relay, const std::string &prefix);
@@ -99,6 +109,11 @@
     VmName self;
     const membership::IMembership *membership = nullptr;
     bool inTrouble = false;
+    GuideHandler guideHandler;
+
+    //! When a neighbour last answered.
+    std::optional<std::chrono::steady_clock::time_point> guidedAt;
+    std::chrono::steady_clock::time_point askedForContactAt;
 
     //! Neighbours that failed, with the time until which they are not asked.
     std::map<net::Endpoint, std::chrono::steady_clock::time_point> avoidedUntil;
--- a/src/distribution/internal/changeboard.cpp
+++ b/src/distribution/internal/changeboard.cpp
@@ -25,12 +25,26 @@
 void ChangeBoard::noteTrouble()
 {
     this->contact.reset();
+    for (const auto &[prefix, log] : this->logs) {
+        this->unconfirmed.insert(prefix);
+    }
     this->tell();
 }
 
+bool ChangeBoard::hasContact(BootTime now) const
+{
+    return this->contact && now - *this->contact <= kFresh;
+}
+
+void ChangeBoard::follow(const std::string &prefix, std::uint64_t after)
+{
+    this->logs[prefix].extend(after, {.revision = after});
+}
+
 void ChangeBoard::extend(const std::string &prefix, std::uint64_t after,
                          const store::StoreListing &changes)
 {
+    this->unconfirmed.erase(prefix);
     this->logs[prefix].extend(after, changes);
     this->copies[prefix].extend(after, changes);
     if (!changes.items.empty()) {
@@ -50,7 +64,8 @@
         return;
     }
     this->noteContact(now);
-    this->logs[prefix].extend(listing->revision, {.revision = listing->revision});
+    this->unconfirmed.erase(prefix);
+    this->follow(prefix, listing->revision);
 }
 
 void ChangeBoard::learnListing(const std::string &prefix, const store::StoreListing &listing)
@@ -82,7 +97,8 @@
 
 bool ChangeBoard::isFollowing(const std::string &prefix, BootTime now) const
 {
-    return this->logs.contains(prefix) && this->contact && now - *this->contact <= kFresh;
+    return this->logs.contains(prefix) && !this->unconfirmed.contains(prefix)
+        && this->hasContact(now);
 }
 
 bool ChangeBoard::wasListed(const std::string &prefix, BootTime now) const
--- a/src/distribution/internal/fanoutstore.cpp
+++ b/src/distribution/internal/fanoutstore.cpp
@@ -17,6 +17,7 @@
 #include "telemetry/types/logentry.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 
 namespace radishladder::distribution {
 namespace {
@@ -31,9 +32,14 @@
 
 constexpr std::chrono::milliseconds kAvoidFailed{5000};
 
+//! While the store is lost, a neighbour is asked for it each second.
+constexpr std::chrono::milliseconds kContactPeriod{1000};
+
+//! Longer than two answers of a neighbour that is followed are apart.
+constexpr std::chrono::milliseconds kGuideAge{2500};
+
 //! A neighbour that cannot tell may have started just now.
 constexpr std::chrono::milliseconds kAvoidUnable{800};
-constexpr int kUnable = 503;
 
 //! Longer than any request to a neighbour takes.
 constexpr std::chrono::milliseconds kLaneIdle{10000};
@@ -111,8 +117,7 @@
                         std::chrono::milliseconds wait, ListingHandler handler)
 {
     const Watch watch{prefix, revision, wait, std::move(handler)};
-    // Who wants an answer sooner than a neighbour gives one asks whether the store is there.
-    const auto relay = wait < kRelayWait || this->inTrouble ? std::nullopt : this->pickRelay();
+    const auto relay = this->inTrouble ? std::nullopt : this->pickRelay();
     if (relay) {
         this->watchRelay(*relay, watch);
     } else {
@@ -147,7 +152,7 @@
 void FanoutStore::watchStore(const Watch &watch)
 {
     // From here on neighbours can be told that nothing has changed.
-    this->board.extend(watch.prefix, watch.revision, {.revision = watch.revision});
+    this->board.follow(watch.prefix, watch.revision);
     this->platform.watch(watch.prefix, watch.revision, watch.wait,
                          [this, watch](const store::StoreListing &answer) {
                              if (answer.status == StoreStatus::Ok) {
@@ -163,8 +168,9 @@
     this->board.forget(watch.prefix);
     const net::HttpRequest request{
         .path = std::string(kChangesPath),
-        .query = absl::StrCat("prefix=", net::percentEncoded(watch.prefix),
-                              "&after=", watch.revision, "&wait_ms=", kRelayWait.count()),
+        .query =
+            absl::StrCat("prefix=", net::percentEncoded(watch.prefix), "&after=", watch.revision,
+                         "&wait_ms=", std::min(watch.wait, kRelayWait).count()),
         .timeout = kRelayWait + kRelayMargin};
     this->ask(relay, watch.prefix, request,
               [this, watch](const std::optional<RelayAnswer> &answer) {
@@ -185,6 +191,7 @@
             auto answer = result.status == 200 ? parseRelayText(result.body) : std::nullopt;
             if (answer) {
                 answer->listing.isRelayed = true;
+                this->guidedAt = this->clock.now();
             } else {
                 this->noteFailed(relay, prefix, result);
             }
@@ -195,13 +202,49 @@
 void FanoutStore::noteFailed(const net::Endpoint &relay, const std::string &prefix,
                              const net::HttpResult &result)
 {
-    const bool isUnable = result.status == kUnable;
+    const bool isUnable = result.status == kCannotTell;
     this->avoidedUntil[relay] = this->clock.now() + (isUnable ? kAvoidUnable : kAvoidFailed);
     this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "relay.failed")
                         .text("relay", net::endpointText(relay))
                         .text("prefix", prefix)
                         .number("status", result.status)
                         .text("detail", result.reason.detail));
+    if (result.status == kStoreLost && this->isGuided() && !this->inTrouble) {
+        this->guide(false);
+    }
+}
+
+void FanoutStore::guide(bool answers)
+{
+    if (this->guideHandler) {
+        this->guideHandler(answers);
+    }
+}
+
+bool FanoutStore::isGuided() const
+{
+    return this->guidedAt && this->clock.now() - *this->guidedAt <= kGuideAge;
+}
+
+void FanoutStore::askForContact()
+{
+    const auto relay = this->pickRelay();
+    if (!relay || this->clock.now() - this->askedForContactAt < kContactPeriod) {
+        return;
+    }
+    this->askedForContactAt = this->clock.now();
+    const net::HttpRequest request{.path = std::string(kContactPath), .timeout = kListingTimeout};
+    this->connectionTo(*relay, std::string(kContactPath))
+        .send(request, [this, relay = *relay](const net::HttpResult &result) {
+            if (result.status != 200 && result.status != kStoreLost) {
+                this->noteFailed(relay, std::string(kContactPath), result);
+                return;
+            }
+            this->guidedAt = this->clock.now();
+            if (result.status == 200 && this->inTrouble) {
+                this->guide(true);
+            }
+        });
 }
 
 net::IHttpConnection &FanoutStore::connectionTo(const net::Endpoint &relay,
@@ -262,6 +305,9 @@
 void FanoutStore::tick()
 {
     const auto now = this->clock.now();
+    if (this->inTrouble) {
+        this->askForContact();
+    }
     std::erase_if(this->lanes,
                   [now](const auto &entry) { return now - entry.second.usedAt > kLaneIdle; });
     std::erase_if(this->avoidedUntil, [now](const auto &entry) { return now >= entry.second; });
--- a/src/distribution/internal/relayserver.cpp
+++ b/src/distribution/internal/relayserver.cpp
@@ -36,7 +36,7 @@
 
 bool RelayServer::takes(const std::string &path)
 {
-    return path == kChangesPath || path == kListingPath;
+    return path == kChangesPath || path == kListingPath || path == kContactPath;
 }
 
 void RelayServer::tick()
@@ -48,7 +48,10 @@
 void RelayServer::handle(const net::HttpRequest &request,
                          const net::IHttpServer::Responder &respond)
 {
-    if (request.path == kListingPath) {
+    if (request.path == kContactPath) {
+        const bool hasContact = this->board.hasContact(this->clock.sinceBoot());
+        respond({.status = hasContact ? 200 : kStoreLost, .body = "{}"});
+    } else if (request.path == kListingPath) {
         this->handleListing(request, respond);
     } else {
         this->handleChanges(request, respond);
@@ -68,7 +71,7 @@
     const RelayAnswer answer =
         this->board.copy(fieldOf(fields, "prefix"), kind, this->clock.sinceBoot());
     if (answer.verdict == RelayVerdict::Unable) {
-        respond({.status = 503, .body = "{}"});
+        respond(this->inability());
         return;
     }
     std::string text = relayText(answer);
@@ -97,19 +100,25 @@
         return;
     }
     if (this->waiting.size() >= kMostWaiting) {
-        respond({.status = 503, .body = "{}"});
+        respond({.status = kCannotTell, .body = "{}"});
         return;
     }
     this->waiting.push_back(std::move(question));
 }
 
+net::HttpAnswer RelayServer::inability() const
+{
+    const bool hasContact = this->board.hasContact(this->clock.sinceBoot());
+    return {.status = hasContact ? kCannotTell : kStoreLost, .body = "{}"};
+}
+
 bool RelayServer::tryAnswer(const Waiting &question, Texts &texts) const
 {
     const auto now = this->clock.now();
     const RelayAnswer answer =
         this->board.answer(question.prefix, question.after, this->clock.sinceBoot());
     if (answer.verdict == RelayVerdict::Unable) {
-        question.respond({.status = 503, .body = "{}"});
+        question.respond(this->inability());
         return true;
     }
     if (answer.verdict == RelayVerdict::Nothing && now < question.until) {
--- a/src/distribution/relayserver.h
+++ b/src/distribution/relayserver.h
@@ -48,6 +48,9 @@
     void handleChanges(const net::HttpRequest &request, const net::IHttpServer::Responder &respond);
     void handleListing(const net::HttpRequest &request, const net::IHttpServer::Responder &respond);
 
+    //! What to answer if this VM cannot tell.
+    net::HttpAnswer inability() const;
+
     //! False if there is nothing to say yet.
     bool tryAnswer(const Waiting &question, Texts &texts) const;
     void answerWaiting();
--- a/src/distribution/tests/changeboardtest.cpp
+++ b/src/distribution/tests/changeboardtest.cpp
@@ -38,6 +38,19 @@
         {"older than what is kept", none, 9, 0ms, RelayVerdict::Unable},
         {"store not heard for long", none, 12, 3s, RelayVerdict::Unable},
         {"trouble", [](ChangeBoard &b) { b.noteTrouble(); }, 12, 0ms, RelayVerdict::Unable},
+        {"the store answers renewals after trouble, and changes may have been missed",
+         [](ChangeBoard &b) {
+             b.noteTrouble();
+             b.noteContact(kStart);
+         },
+         12, 0ms, RelayVerdict::Unable},
+        {"the store has told of changes after trouble",
+         [](ChangeBoard &b) {
+             b.noteTrouble();
+             b.noteContact(kStart);
+             b.extend("up/", 12, changes(13));
+         },
+         13, 0ms, RelayVerdict::Nothing},
         {"follows a neighbour itself", [](ChangeBoard &b) { b.forget("up/"); }, 12, 0ms,
          RelayVerdict::Unable},
         {"large value", [](ChangeBoard &b) { b.extend("up/", 12, changes(13, 132000)); }, 10, 0ms,
--- a/src/distribution/tests/neighbourhood.h
+++ b/src/distribution/tests/neighbourhood.h
@@ -76,7 +76,10 @@
             this->loop.every(std::chrono::seconds(2), [&vm]() {
                 vm->fanout.renewLease(1, [](const store::StoreLease &) {});
             });
-            this->loop.every(std::chrono::milliseconds(250), [&vm]() { vm->server.tick(); });
+            this->loop.every(std::chrono::milliseconds(250), [&vm]() {
+                vm->server.tick();
+                vm->fanout.tick();
+            });
         }
         this->store.grantLease(std::chrono::hours(1), [](const store::StoreLease &) {});
         this->loop.advance(std::chrono::seconds(12));
--- a/src/membership/internal/leasemembership.cpp
+++ b/src/membership/internal/leasemembership.cpp
@@ -22,11 +22,15 @@
 constexpr std::chrono::milliseconds kLeaseTime{12000};
 //! Also bounds how long trouble of the store stays unnoticed.
 constexpr std::chrono::milliseconds kRenewEvery{2000};
+
+//! The same while a neighbour tells at once.
+constexpr std::chrono::milliseconds kGuidedRenewEvery{5000};
 constexpr std::chrono::milliseconds kRetryAfter{500};
 
 //! Between the beginnings of two calls; also bounds how long the store's return stays unnoticed.
 constexpr std::chrono::milliseconds kFirstInterval{500};
 constexpr std::chrono::milliseconds kLongestInterval{2000};
+constexpr std::chrono::milliseconds kGuidedInterval{6000};
 
 //! Covers the time in which a VM with a lapsed lease takes a new one.
 constexpr std::chrono::milliseconds kLeaveGrace{6000};
@@ -220,18 +224,49 @@
 
 void LeaseMembership::retry(void (LeaseMembership::*step)(), const std::string &detail)
 {
-    if (!this->inTrouble) {
-        this->inTrouble = true;
-        this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "store.lost")
-                            .text("for", "lease")
-                            .text("detail", detail));
-        if (this->contactListener != nullptr) {
-            this->contactListener->onStoreTrouble(detail);
-        }
+    this->noteTrouble(detail);
+    this->later(this->nextRetry(), step);
+}
+
+void LeaseMembership::noteTrouble(const std::string &detail)
+{
+    if (this->inTrouble) {
+        return;
+    }
+    this->inTrouble = true;
+    this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "store.lost")
+                        .text("for", "lease")
+                        .text("detail", detail));
+    if (this->contactListener != nullptr) {
+        this->contactListener->onStoreTrouble(detail);
+    }
+}
+
+void LeaseMembership::suspectStore(const std::string &detail)
+{
+    if (this->joinedAt && !this->leaving) {
+        this->noteTrouble(detail);
+        this->check();
+    }
+}
+
+void LeaseMembership::check()
+{
+    if (this->nextStep != nullptr) {
+        this->later(std::chrono::milliseconds(0), this->nextStep);
     }
-    this->loop.after(this->nextRetry(), [this, step, held = this->lease]() {
-        if (held == this->lease) {
-            (this->*step)();
+}
+
+void LeaseMembership::later(std::chrono::milliseconds delay, void (LeaseMembership::*step)())
+{
+    this->nextStep = step;
+    const std::uint64_t own = ++this->timer;
+    this->loop.after(delay, [this, own]() {
+        // A timer that was replaced, as by a revoked lease, must not start a second loop.
+        if (own == this->timer && this->nextStep != nullptr) {
+            const auto next = this->nextStep;
+            this->nextStep = nullptr;
+            (this->*next)();
         }
     });
 }
@@ -242,9 +277,9 @@
     // has used the time up already.
     const auto taken =
         std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now() - this->calledAt);
-    const auto delay = std::max(kRetryAfter, this->retryInterval - taken);
+    const auto interval = this->guided ? kGuidedInterval : this->retryInterval;
     this->retryInterval = std::min(this->retryInterval * 2, kLongestInterval);
-    return delay;
+    return std::max(kRetryAfter, interval - taken);
 }
 
 void LeaseMembership::noteAnswer()
@@ -263,11 +298,6 @@
 
 void LeaseMembership::keepLater()
 {
-    // A timer of a lease that has been replaced meanwhile must not start a second renewal loop.
-    this->loop.after(kRenewEvery, [this, held = this->lease]() {
-        if (held == this->lease) {
-            this->keep();
-        }
-    });
+    this->later(this->guided ? kGuidedRenewEvery : kRenewEvery, &LeaseMembership::keep);
 }
 }
--- a/src/membership/leasemembership.h
+++ b/src/membership/leasemembership.h
@@ -49,6 +49,15 @@
     //! Gives the own key up, before a planned stop.
     void leave();
 
+    //! A neighbour tells at once when the store is lost or back, so this VM asks less often.
+    void setGuided(bool isGuided) { this->guided = isGuided; }
+
+    //! Asks the store now whether it answers, instead of with the next renewal.
+    void check();
+
+    //! A neighbour has lost the store: treats it as lost until it answers this VM.
+    void suspectStore(const std::string &detail);
+
     const std::vector<VmName> &members() const override { return this->current; }
     std::optional<RelayOffer> relayOf(const VmName &member) const override;
     bool isSettled() const override;
@@ -68,6 +77,8 @@
     void publish();
     void keep();
     void keepLater();
+    void later(std::chrono::milliseconds delay, void (LeaseMembership::*step)());
+    void noteTrouble(const std::string &detail);
     void noteAnswer();
     std::chrono::milliseconds nextRetry();
     void retry(void (LeaseMembership::*step)(), const std::string &detail);
@@ -82,6 +93,13 @@
     std::uint64_t lease = 0;
     store::IContactListener *contactListener = nullptr;
     bool inTrouble = false;
+    bool guided = false;
+
+    //! Of the timer that counts; earlier ones are void.
+    std::uint64_t timer = 0;
+
+    //! What the timer does; null while a call is on its way.
+    void (LeaseMembership::*nextStep)() = nullptr;
     TimePoint calledAt;
     std::chrono::milliseconds retryInterval;
     bool acquiring = false;
--- a/src/membership/tests/leasemembershiptest.cpp
+++ b/src/membership/tests/leasemembershiptest.cpp
@@ -2,6 +2,7 @@
 
 #include "net/manualeventloop.h"
 #include "standins/memorystore.h"
+#include "store/icontactlistener.h"
 #include "store/iprefixlistener.h"
 #include "store/prefixfollower.h"
 #include "store/prefixpoller.h"
@@ -40,6 +41,16 @@
     store::PrefixPoller poller;
 };
 
+class CountingContact : public store::IContactListener
+{
+public:
+    void onStoreTrouble(const std::string &) override { ++this->lost; }
+    void onStoreReturned() override { ++this->regained; }
+
+    int lost = 0;
+    int regained = 0;
+};
+
 struct Fixture
 {
     ManualClock clock;
@@ -203,3 +214,31 @@
         cr_assert_geq(f.store.calls() - returned, 3U, "%s", row.name);
     }
 }
+
+Test(leasemembership, a_vm_that_a_neighbour_guides_asks_seldom_and_hears_of_the_store_at_once)
+{
+    Fixture f;
+    f.loop.advance(5s);
+    for (Vm *vm : {&f.a, &f.b, &f.c}) {
+        vm->membership.setGuided(true);
+    }
+    f.loop.advance(3s);
+    const std::uint64_t before = f.store.calls();
+    f.loop.advance(20s);
+    // Three VMs renew each five seconds, and list their members each two and a half.
+    cr_assert_leq(f.store.calls() - before, 3U * (4 + 8));
+    CountingContact contact;
+    f.a.membership.watchContact(contact);
+    f.a.membership.suspectStore("a relay has lost it");
+    cr_assert_eq(contact.lost, 1);
+    f.loop.advance(100ms);
+    cr_assert_eq(contact.regained, 1);
+    f.store.setMode(MemoryStore::Mode::Refusing);
+    f.a.membership.check();
+    f.loop.advance(100ms);
+    cr_assert_eq(contact.lost, 2);
+    f.store.setMode(MemoryStore::Mode::Serving);
+    f.a.membership.check();
+    f.loop.advance(100ms);
+    cr_assert_eq(contact.regained, 2);
+}
