Start from VMs that run on while the store does not answer

Change: settings name seeds (control addresses of up to three VMs). A listing that a VM cannot start without, and that the store has not answered after 250 ms or has failed, is asked of the seeds, each 0.5 s until one answers; what it hands over has an age, is logged, counts as unconfirmed (upstreams that go missing are doubtful, nothing is reset for being unlisted), and the store has the last word on its return. Ruled out: the seed of the cut data centre had been killed itself, so its VMs were answered from elsewhere when the way was open again; members are not handed over between data centres.

--- a/src/app/storeview.cpp
+++ b/src/app/storeview.cpp
@@ -23,7 +23,7 @@
 constexpr std::chrono::milliseconds kSwitchPeriod{5000};
 
 //! Time in which a store that is well has told who the neighbours are.
-constexpr std::chrono::milliseconds kMemberWait{60};
+constexpr std::chrono::milliseconds kMemberWait{30};
 
 //! Time in which all VMs of a system that starts have become members.
 constexpr std::chrono::milliseconds kFirstStartWait{700};
@@ -50,7 +50,7 @@
                      upstreams::UpstreamRegistry &registry, const Connect &connect)
     : loop(loop), firstStart(settings.firstStart),
       store([connect, server = settings.store]() { return connect(server); }),
-      fanout(this->store, this->board, clock, log, connect, settings.name),
+      fanout(this->store, this->board, loop, clock, log, connect, settings.name, settings.seeds),
       relayServer(this->board, clock), members(this->fanout, loop, clock, log, settings.name,
                                                settings.dataCentre, relayOffer(settings)),
       upstreamKeeper(registry, clock, log), routingKeeper(routes, clock, log),
--- a/src/distribution/changeboard.h
+++ b/src/distribution/changeboard.h
@@ -16,6 +16,7 @@
 }
 
 namespace radishladder::distribution {
+enum class CopyAge : std::uint8_t;
 struct RelayAnswer;
 
 //! What this VM can tell its neighbours of the store; does no I/O and reads no clock.
@@ -32,9 +33,12 @@
     void onChange(std::function<void()> listener) { this->listener = std::move(listener); }
 
     //! The store answered a call of this VM, or did not.
-    void noteContact(BootTime now) { this->contact = now; }
+    void noteContact(BootTime now);
     void noteTrouble();
 
+    //! True if everything under \a prefix has been heard, however long ago.
+    bool knows(const std::string &prefix) const;
+
     //! True if the store answered a call of this VM lately.
     bool hasContact(BootTime now) const;
 
@@ -52,19 +56,23 @@
     //! This VM follows \a prefix through a neighbour from now on.
     void forget(const std::string &prefix);
 
-    //! A neighbour answered a listing, or a watch that asked for changes after \a after.
-    void learnListing(const std::string &prefix, const store::StoreListing &listing);
+    //! A neighbour that heard the store at \a heard answered a listing.
+    void learnListing(const std::string &prefix, const store::StoreListing &listing,
+                      BootTime heard);
+
+    //! A neighbour answered a watch that asked for changes after \a after.
     void learnChanges(const std::string &prefix, std::uint64_t after,
-                      const store::StoreListing &changes);
+                      const store::StoreListing &changes, BootTime now);
 
     //! Answers a neighbour that knows everything up to \a after.
     RelayAnswer answer(const std::string &prefix, std::uint64_t after, BootTime now) const;
 
-    //! Hands everything under \a prefix over to a neighbour, as new as \a kind asks for.
-    RelayAnswer copy(const std::string &prefix, store::ReadKind kind, BootTime now) const;
+    //! Hands everything under \a prefix over to a neighbour, no older than \a age allows.
+    RelayAnswer copy(const std::string &prefix, CopyAge age, BootTime now) const;
 
 private:
     bool isFollowing(const std::string &prefix, BootTime now) const;
+    bool isAllowed(const std::string &prefix, CopyAge age, BootTime now) const;
     bool wasListed(const std::string &prefix, BootTime now) const;
     void tell() const;
 
@@ -77,6 +85,9 @@
     //! When the store last answered a listing.
     std::map<std::string, BootTime> listedAt;
     std::optional<BootTime> contact;
+
+    //! When the store was last heard, by way of neighbours too.
+    BootTime heardAt{0};
     std::function<void()> listener;
 };
 }
--- a/src/distribution/fanoutstore.h
+++ b/src/distribution/fanoutstore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "distribution/startlister.h"
 #include "global/name.h"
 #include "net/types/endpoint.h"
 #include "store/icontactlistener.h"
@@ -12,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace radishladder {
 class IClock;
@@ -20,6 +22,7 @@
 class IMembership;
 }
 namespace radishladder::net {
+class IEventLoop;
 class IHttpConnection;
 struct HttpRequest;
 struct HttpResult;
@@ -40,8 +43,9 @@
     using ConnectionFactory =
         std::function<std::unique_ptr<net::IHttpConnection>(const net::Endpoint &relay)>;
 
-    FanoutStore(store::IStore &platform, ChangeBoard &board, const IClock &clock,
-                telemetry::IEventLog &log, ConnectionFactory connect, VmName self);
+    FanoutStore(store::IStore &platform, ChangeBoard &board, net::IEventLoop &loop,
+                const IClock &clock, telemetry::IEventLog &log, ConnectionFactory connect,
+                VmName self, std::vector<net::Endpoint> seeds);
     ~FanoutStore() override;
 
     //! Says through whom this VM may follow; without it every watch goes to the store.
@@ -87,7 +91,11 @@
 
     std::optional<net::Endpoint> pickRelay();
     bool isAvoided(const net::Endpoint &relay) const;
+    //! The listing that \a handler hears of once.
+    Listing begin(const std::string &prefix, const std::string &afterKey, store::ReadKind kind,
+                  ListingHandler handler);
     void listStore(const Listing &listing);
+    void onPage(const Listing &listing, const store::StoreListing &page);
     void listRelay(const net::Endpoint &relay, const Listing &listing);
     void watchStore(const Watch &watch);
     void watchRelay(const net::Endpoint &relay, const Watch &watch);
@@ -103,6 +111,7 @@
 
     store::IStore &platform;
     ChangeBoard &board;
+    net::IEventLoop &loop;
     const IClock &clock;
     telemetry::IEventLog &log;
     ConnectionFactory connect;
@@ -118,5 +127,9 @@
     //! Neighbours that failed, with the time until which they are not asked.
     std::map<net::Endpoint, std::chrono::steady_clock::time_point> avoidedUntil;
     std::map<std::pair<std::string, net::Endpoint>, Lane> lanes;
+    StartLister starter;
+
+    //! Set as soon as a listing is answered or given up.
+    std::map<std::string, std::shared_ptr<bool>> listingOver;
 };
 }
--- a/src/distribution/internal/changeboard.cpp
+++ b/src/distribution/internal/changeboard.cpp
@@ -1,5 +1,6 @@
 #include "distribution/changeboard.h"
 
+#include "distribution/types/copyage.h"
 #include "distribution/types/relayanswer.h"
 #include "store/types/readkind.h"
 
@@ -22,6 +23,12 @@
 }
 }
 
+void ChangeBoard::noteContact(BootTime now)
+{
+    this->contact = now;
+    this->heardAt = now;
+}
+
 void ChangeBoard::noteTrouble()
 {
     this->contact.reset();
@@ -31,6 +38,12 @@
     this->tell();
 }
 
+bool ChangeBoard::knows(const std::string &prefix) const
+{
+    const auto copy = this->copies.find(prefix);
+    return copy != this->copies.end() && copy->second.listing().has_value();
+}
+
 bool ChangeBoard::hasContact(BootTime now) const
 {
     return this->contact && now - *this->contact <= kFresh;
@@ -68,16 +81,19 @@
     this->follow(prefix, listing->revision);
 }
 
-void ChangeBoard::learnListing(const std::string &prefix, const store::StoreListing &listing)
+void ChangeBoard::learnListing(const std::string &prefix, const store::StoreListing &listing,
+                               BootTime heard)
 {
+    this->heardAt = std::max(this->heardAt, heard);
     this->copies[prefix].addPage("", listing);
     this->listedAt.erase(prefix);
     this->logs.erase(prefix);
 }
 
 void ChangeBoard::learnChanges(const std::string &prefix, std::uint64_t after,
-                               const store::StoreListing &changes)
+                               const store::StoreListing &changes, BootTime now)
 {
+    this->heardAt = now;
     this->copies[prefix].extend(after, changes);
 }
 
@@ -107,22 +123,35 @@
     return listed != this->listedAt.end() && now - listed->second <= kListingAge;
 }
 
-RelayAnswer ChangeBoard::copy(const std::string &prefix, store::ReadKind kind, BootTime now) const
+bool ChangeBoard::isAllowed(const std::string &prefix, CopyAge age, BootTime now) const
+{
+    switch (age) {
+    case CopyAge::New:
+        return this->isFollowing(prefix, now);
+    case CopyAge::Polled:
+        return this->isFollowing(prefix, now) || this->wasListed(prefix, now);
+    case CopyAge::Any:
+        break;
+    }
+    return true;
+}
+
+RelayAnswer ChangeBoard::copy(const std::string &prefix, CopyAge age, BootTime now) const
 {
     const auto copy = this->copies.find(prefix);
-    const bool isNew = this->isFollowing(prefix, now)
-        || (kind == store::ReadKind::Stale && this->wasListed(prefix, now));
-    if (!isNew || copy == this->copies.end()) {
+    if (copy == this->copies.end() || !this->isAllowed(prefix, age, now)) {
         return {.verdict = RelayVerdict::Unable};
     }
     auto listing = copy->second.listing();
     if (!listing) {
         return {.verdict = RelayVerdict::Unable};
     }
-    if (std::ranges::any_of(listing->items, isTooLarge)) {
+    if (age != CopyAge::Any && std::ranges::any_of(listing->items, isTooLarge)) {
         return {.verdict = RelayVerdict::AskStore};
     }
-    return {.verdict = RelayVerdict::Changes, .listing = std::move(*listing)};
+    return {.verdict = RelayVerdict::Changes,
+            .listing = std::move(*listing),
+            .age = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->heardAt)};
 }
 
 RelayAnswer ChangeBoard::answer(const std::string &prefix, std::uint64_t after, BootTime now) const
--- a/src/distribution/internal/fanoutstore.cpp
+++ b/src/distribution/internal/fanoutstore.cpp
@@ -4,7 +4,9 @@
 #include "distribution/relaychoice.h"
 #include "distribution/relaycodec.h"
 #include "distribution/relaypaths.h"
+#include "distribution/types/copyage.h"
 #include "global/iclock.h"
+#include "net/ieventloop.h"
 #include "net/ihttpconnection.h"
 #include "net/query.h"
 #include "net/types/httprequest.h"
@@ -27,7 +29,10 @@
 constexpr std::chrono::milliseconds kRelayWait{1000};
 constexpr std::chrono::milliseconds kRelayMargin{600};
 
-//! A VM that starts asks the store if a neighbour takes longer.
+//! A VM that starts asks the store, too, if a neighbour takes longer.
+constexpr std::chrono::milliseconds kRelayLate{25};
+
+//! Longest time that a neighbour takes to hand a listing over.
 constexpr std::chrono::milliseconds kListingTimeout{250};
 
 constexpr std::chrono::milliseconds kAvoidFailed{5000};
@@ -51,6 +56,8 @@
     std::string afterKey;
     store::ReadKind kind = store::ReadKind::Linearizable;
     ListingHandler handler;
+    std::shared_ptr<bool> isOver;
+    std::shared_ptr<bool> isStoreAsked;
 };
 
 struct FanoutStore::Watch
@@ -61,10 +68,12 @@
     ListingHandler handler;
 };
 
-FanoutStore::FanoutStore(store::IStore &platform, ChangeBoard &board, const IClock &clock,
-                         telemetry::IEventLog &log, ConnectionFactory connect, VmName self)
-    : platform(platform), board(board), clock(clock), log(log), connect(std::move(connect)),
-      self(std::move(self))
+FanoutStore::FanoutStore(store::IStore &platform, ChangeBoard &board, net::IEventLoop &loop,
+                         const IClock &clock, telemetry::IEventLog &log, ConnectionFactory connect,
+                         VmName self, std::vector<net::Endpoint> seeds)
+    : platform(platform), board(board), loop(loop), clock(clock), log(log),
+      connect(std::move(connect)), self(std::move(self)),
+      starter(platform, clock, log, this->connect, std::move(seeds))
 { }
 
 FanoutStore::~FanoutStore() = default;
@@ -72,35 +81,62 @@
 void FanoutStore::list(const std::string &prefix, const std::string &afterKey, store::ReadKind kind,
                        ListingHandler handler)
 {
-    const Listing listing{prefix, afterKey, kind, std::move(handler)};
+    const Listing listing = this->begin(prefix, afterKey, kind, std::move(handler));
     const auto relay = afterKey.empty() && !this->inTrouble ? this->pickRelay() : std::nullopt;
     if (relay) {
         this->listRelay(*relay, listing);
+        this->loop.after(kRelayLate, [this, listing]() { this->listStore(listing); });
     } else {
         this->listStore(listing);
     }
 }
 
+FanoutStore::Listing FanoutStore::begin(const std::string &prefix, const std::string &afterKey,
+                                        store::ReadKind kind, ListingHandler handler)
+{
+    auto isOver = std::make_shared<bool>(false);
+    this->listingOver[prefix] = isOver;
+    return {prefix, afterKey, kind, std::move(handler), isOver, std::make_shared<bool>(false)};
+}
+
 void FanoutStore::listStore(const Listing &listing)
 {
-    this->platform.list(listing.prefix, listing.afterKey, listing.kind,
-                        [this, listing](const store::StoreListing &page) {
-                            const auto now = this->clock.sinceBoot();
-                            if (page.status == StoreStatus::Ok) {
-                                this->board.addPage(listing.prefix, listing.kind, listing.afterKey,
-                                                    page, now);
-                            }
-                            listing.handler(page);
-                        });
+    if (*listing.isOver || *listing.isStoreAsked) {
+        return;
+    }
+    *listing.isStoreAsked = true;
+    const auto handler = [this, listing](const store::StoreListing &page) {
+        this->onPage(listing, page);
+    };
+    const bool isStart = listing.afterKey.empty() && listing.kind == store::ReadKind::Linearizable
+        && !this->board.knows(listing.prefix);
+    if (isStart) {
+        this->starter.list(listing.prefix, handler);
+    } else {
+        this->platform.list(listing.prefix, listing.afterKey, listing.kind, handler);
+    }
+}
+
+void FanoutStore::onPage(const Listing &listing, const store::StoreListing &page)
+{
+    if (*listing.isOver) {
+        return;
+    }
+    *listing.isOver = true;
+    const auto now = this->clock.sinceBoot();
+    if (page.age) {
+        this->board.learnListing(listing.prefix, page, now - *page.age);
+    } else if (page.status == StoreStatus::Ok) {
+        this->board.addPage(listing.prefix, listing.kind, listing.afterKey, page, now);
+    }
+    listing.handler(page);
 }
 
 void FanoutStore::listRelay(const net::Endpoint &relay, const Listing &listing)
 {
-    const bool isStale = listing.kind == store::ReadKind::Stale;
+    const CopyAge age = listing.kind == store::ReadKind::Stale ? CopyAge::Polled : CopyAge::New;
     const net::HttpRequest request{.path = std::string(kListingPath),
-                                   .query =
-                                       absl::StrCat("prefix=", net::percentEncoded(listing.prefix),
-                                                    "&stale=", isStale ? 1 : 0),
+                                   .query = listingQuery(listing.prefix, age),
                                    .timeout = kListingTimeout};
     this->ask(relay, listing.prefix, request,
               [this, listing](const std::optional<RelayAnswer> &answer) {
@@ -108,7 +144,13 @@
                       this->listStore(listing);
                       return;
                   }
-                  this->board.learnListing(listing.prefix, answer->listing);
+                  if (*listing.isOver) {
+                      return;
+                  }
+                  *listing.isOver = true;
+                  this->starter.abandon(listing.prefix);
+                  this->board.learnListing(listing.prefix, answer->listing,
+                                           this->clock.sinceBoot() - answer->age);
                   listing.handler(answer->listing);
               });
 }
@@ -178,7 +220,8 @@
                       this->watchStore(watch);
                       return;
                   }
-                  this->board.learnChanges(watch.prefix, watch.revision, answer->listing);
+                  this->board.learnChanges(watch.prefix, watch.revision, answer->listing,
+                                           this->clock.sinceBoot());
                   watch.handler(answer->listing);
               });
 }
@@ -262,6 +305,11 @@
 {
     std::erase_if(this->lanes,
                   [&prefix](const auto &entry) { return entry.first.first == prefix; });
+    const auto open = this->listingOver.find(prefix);
+    if (open != this->listingOver.end()) {
+        *open->second = true;
+    }
+    this->starter.abandon(prefix);
     this->platform.abandon(prefix);
 }
 
@@ -305,6 +353,7 @@
 void FanoutStore::tick()
 {
     const auto now = this->clock.now();
+    this->starter.tick(this->inTrouble);
     if (this->inTrouble) {
         this->askForContact();
     }
--- a/src/distribution/internal/relaycodec.cpp
+++ b/src/distribution/internal/relaycodec.cpp
@@ -11,6 +11,7 @@
 constexpr const char *kRevision = "revision";
 constexpr const char *kAskStore = "askStore";
 constexpr const char *kChanges = "changes";
+constexpr const char *kAgeMs = "ageMs";
 constexpr const char *kKey = "key";
 constexpr const char *kValue = "value";
 constexpr const char *kCreated = "created";
@@ -54,6 +55,7 @@
     Json::Value json;
     json[kRevision] = Json::UInt64(answer.listing.revision);
     json[kAskStore] = answer.verdict == RelayVerdict::AskStore;
+    json[kAgeMs] = Json::Int64(answer.age.count());
     json[kChanges] = Json::arrayValue;
     for (const store::StoreItem &item : answer.listing.items) {
         json[kChanges].append(itemJson(item));
@@ -66,12 +68,14 @@
     Reason reason;
     const auto json = settings::parseJson(text, "relay", reason);
     if (!json || !json->isObject() || !(*json)[kRevision].isUInt64() || !(*json)[kAskStore].isBool()
-        || !(*json)[kChanges].isArray()) {
+        || !(*json)[kChanges].isArray() || !(*json)[kAgeMs].isInt64()
+        || (*json)[kAgeMs].asInt64() < 0) {
         return std::nullopt;
     }
     RelayAnswer answer;
     answer.listing.status = store::StoreStatus::Ok;
     answer.listing.revision = (*json)[kRevision].asUInt64();
+    answer.age = std::chrono::milliseconds((*json)[kAgeMs].asInt64());
     for (const Json::Value &entry : (*json)[kChanges]) {
         auto item = itemOf(entry);
         if (!item) {
--- a/src/distribution/internal/relayserver.cpp
+++ b/src/distribution/internal/relayserver.cpp
@@ -3,11 +3,11 @@
 #include "distribution/changeboard.h"
 #include "distribution/relaycodec.h"
 #include "distribution/relaypaths.h"
+#include "distribution/types/copyage.h"
 #include "global/iclock.h"
 #include "net/query.h"
 #include "net/types/httpanswer.h"
 #include "net/types/httprequest.h"
-#include "store/types/readkind.h"
 
 #include <absl/strings/numbers.h>
 
@@ -62,14 +62,13 @@
                                 const net::IHttpServer::Responder &respond)
 {
     const auto fields = net::queryFields(request.query);
-    const std::string stale = fieldOf(fields, "stale");
-    if (stale != "0" && stale != "1") {
-        respond({.status = 400, .body = R"({"error":"GET /listing?prefix=&stale="})"});
+    const auto age = parseCopyAge(fieldOf(fields, "age"));
+    if (!age) {
+        respond({.status = 400, .body = R"({"error":"GET /listing?prefix=&age=new|polled|any"})"});
         return;
     }
-    const auto kind = stale == "1" ? store::ReadKind::Stale : store::ReadKind::Linearizable;
     const RelayAnswer answer =
-        this->board.copy(fieldOf(fields, "prefix"), kind, this->clock.sinceBoot());
+        this->board.copy(fieldOf(fields, "prefix"), *age, this->clock.sinceBoot());
     if (answer.verdict == RelayVerdict::Unable) {
         respond(this->inability());
         return;
--- a/src/distribution/tests/handovertest.cpp
+++ b/src/distribution/tests/handovertest.cpp
@@ -1,9 +1,11 @@
 #include "distribution/relaychoice.h"
 #include "distribution/relaycodec.h"
+#include "distribution/types/copyage.h"
 #include "distribution/types/relayanswer.h"
 #include "neighbourhood.h"
 #include "net/types/httpanswer.h"
 #include "net/types/httprequest.h"
+#include "restart.h"
 #include "store/types/readkind.h"
 
 #include <criterion/criterion.h>
@@ -13,14 +15,6 @@
 using namespace std::chrono_literals;
 
 namespace {
-//! A VM of the neighbourhood that starts anew and knows nothing.
-Neighbourhood::Vm &restart(Neighbourhood &all, std::size_t index)
-{
-    all.vms[index] = std::make_unique<Neighbourhood::Vm>(all, static_cast<int>(index));
-    all.vms[index]->follower.start();
-    return *all.vms[index];
-}
-
 std::vector<std::size_t> indicesOf(const Neighbourhood &all, bool areRelays)
 {
     std::vector<std::size_t> found;
@@ -62,6 +56,20 @@
     }
 }
 
+Test(handover, a_neighbour_that_does_not_answer_holds_a_start_up_for_a_moment_only)
+{
+    // Replays the loss of all power: neighbours are members still, but most of them start, too.
+    Neighbourhood all(20);
+    all.store.put("up/a", "here");
+    all.loop.advance(4s);
+    changeRelays(all, [](auto &vm) { vm.isPaused = true; });
+    Neighbourhood::Vm &vm = restart(all, indicesOf(all, false).front());
+    all.loop.advance(60ms);
+    cr_assert(vm.follower.isSynchronized());
+    cr_assert_eq(vm.values.count("up/a"), 1U);
+    cr_assert_eq(vm.link.calls, 1U);
+}
+
 Test(handover, an_empty_listing_is_an_answer)
 {
     Neighbourhood all(20);
@@ -117,22 +125,24 @@
         const char *name;
         void (*change)(ChangeBoard &);
         store::ReadKind listed;
-        store::ReadKind kind;
+        CopyAge allowed;
         std::chrono::milliseconds age;
         RelayVerdict verdict;
     };
     using store::ReadKind;
+    static constexpr ChangeBoard::BootTime kStart{1h};
     const auto none = [](ChangeBoard &) {};
     const Row rows[] = {
-        {"listed, and to be followed", none, ReadKind::Linearizable, ReadKind::Linearizable, 0ms,
+        {"listed, and to be followed", none, ReadKind::Linearizable, CopyAge::New, 0ms,
          RelayVerdict::Changes},
-        {"store not heard for long", none, ReadKind::Linearizable, ReadKind::Linearizable, 3s,
-         RelayVerdict::Unable},
-        {"listed by a stale read", none, ReadKind::Stale, ReadKind::Linearizable, 0ms,
+        {"store not heard for long", none, ReadKind::Linearizable, CopyAge::New, 3s,
          RelayVerdict::Unable},
+        {"listed by a stale read", none, ReadKind::Stale, CopyAge::New, 0ms, RelayVerdict::Unable},
         {"listed now and then, which is enough for a stale read", none, ReadKind::Stale,
-         ReadKind::Stale, 5s, RelayVerdict::Changes},
-        {"listed too long ago", none, ReadKind::Stale, ReadKind::Stale, 7s, RelayVerdict::Unable},
+         CopyAge::Polled, 5s, RelayVerdict::Changes},
+        {"listed too long ago", none, ReadKind::Stale, CopyAge::Polled, 7s, RelayVerdict::Unable},
+        {"listed too long ago, while the store does not answer", none, ReadKind::Stale,
+         CopyAge::Any, 7s, RelayVerdict::Changes},
         {"half of a listing",
          [](ChangeBoard &board) {
              store::StoreListing page{.status = store::StoreStatus::Ok, .revision = 6};
@@ -141,34 +151,33 @@
              board.addPage("up/", ReadKind::Linearizable, "", page, 0ns);
              board.extend("up/", 5, {.revision = 5});
          },
-         ReadKind::Linearizable, ReadKind::Linearizable, 0ms, RelayVerdict::Unable},
+         ReadKind::Linearizable, CopyAge::New, 0ms, RelayVerdict::Unable},
         {"learnt from a neighbour",
          [](ChangeBoard &board) {
-             board.learnListing("up/", {.status = store::StoreStatus::Ok, .revision = 6});
+             board.learnListing("up/", {.status = store::StoreStatus::Ok, .revision = 6}, kStart);
          },
-         ReadKind::Stale, ReadKind::Stale, 0ms, RelayVerdict::Unable},
+         ReadKind::Stale, CopyAge::Polled, 0ms, RelayVerdict::Unable},
         {"trouble",
          [](ChangeBoard &board) {
              board.extend("up/", 5, {.revision = 5});
              board.noteTrouble();
          },
-         ReadKind::Linearizable, ReadKind::Linearizable, 0ms, RelayVerdict::Unable},
+         ReadKind::Linearizable, CopyAge::New, 0ms, RelayVerdict::Unable},
         {"a value too large to pass on",
          [](ChangeBoard &board) {
              store::StoreListing change{.status = store::StoreStatus::Ok, .revision = 6};
              change.items.push_back({.key = "up/b", .value = std::string(140000, 'x')});
              board.extend("up/", 5, change);
          },
-         ReadKind::Linearizable, ReadKind::Linearizable, 0ms, RelayVerdict::AskStore},
+         ReadKind::Linearizable, CopyAge::New, 0ms, RelayVerdict::AskStore},
     };
     for (const Row &row : rows) {
-        constexpr ChangeBoard::BootTime kStart{1h};
         ChangeBoard board;
         board.noteContact(kStart);
         board.addPage("up/", row.listed, "", {.status = store::StoreStatus::Ok, .revision = 5},
                       kStart);
         row.change(board);
-        const RelayAnswer answer = board.copy("up/", row.kind, kStart + row.age);
+        const RelayAnswer answer = board.copy("up/", row.allowed, kStart + row.age);
         cr_assert_eq(answer.verdict, row.verdict, "%s", row.name);
     }
 }
@@ -185,7 +194,7 @@
     std::size_t sent = 0;
     int refused = 0;
     for (int i = 0; i < 100; ++i) {
-        giver.handle({.path = "/listing", .query = "prefix=up%2F&stale=0"},
+        giver.handle({.path = "/listing", .query = "prefix=up%2F&age=new"},
                      [&](const net::HttpAnswer &answer) {
                          const bool isRefusal =
                              parseRelayText(answer.body)->verdict == RelayVerdict::AskStore;
@@ -201,8 +210,8 @@
 Test(handover, questions_that_cannot_be_read_are_rejected)
 {
     Neighbourhood all(8);
-    const char *const rows[] = {"", "prefix=up%2F", "prefix=up%2F&stale=", "prefix=up%2F&stale=2",
-                                "stale=yes"};
+    const char *const rows[] = {"", "prefix=up%2F", "prefix=up%2F&age=", "prefix=up%2F&age=old",
+                                "age=0"};
     for (const char *query : rows) {
         int status = 0;
         all.vms[0]->server.handle({.path = "/listing", .query = query},
--- a/src/distribution/tests/neighbourhood.h
+++ b/src/distribution/tests/neighbourhood.h
@@ -29,12 +29,12 @@
         Vm(Neighbourhood &all, int number)
             : link(all.store, all.loop),
               fanout(
-                  link, board, all.clock, all,
+                  link, board, all.loop, all.clock, all,
                   [&all](const net::Endpoint &relay) {
                       return std::make_unique<FakeNeighbour>(all.loop, all.vms[relay.port]->server,
                                                              all.vms[relay.port]->isPaused);
                   },
-                  all.names[static_cast<std::size_t>(number)]),
+                  all.names[static_cast<std::size_t>(number)], all.seedsOf(number)),
               server(board, all.clock),
               follower(fanout, all.loop, *this, "up/", {.watchWait = std::chrono::seconds(7)})
         {
@@ -43,18 +43,27 @@
 
         void onSnapshot(const std::vector<store::StoreItem> &items) override
         {
+            this->values.clear();
             this->onChanges(items);
         }
         void onChanges(const std::vector<store::StoreItem> &items) override
         {
             for (const store::StoreItem &item : items) {
-                this->values[item.key] = item.value;
+                if (item.isRemoval) {
+                    this->values.erase(item.key);
+                } else {
+                    this->values[item.key] = item.value;
+                }
             }
         }
+        void onUpToDate() override { ++this->upToDate; }
         void onContactLost(const std::string &) override { }
         void onContactRegained() override { }
 
         std::map<std::string, std::string> values;
+
+        //! How often the store said that there is nothing else.
+        int upToDate = 0;
         bool isPaused = false;
         SeverableStore link;
         ChangeBoard board;
@@ -96,10 +105,25 @@
     bool accepts(telemetry::LogKind) override { return false; }
     void write(const telemetry::LogEntry &) override { }
 
+    std::vector<net::Endpoint> seedsOf(int number) const
+    {
+        std::vector<net::Endpoint> seeds;
+        for (std::uint16_t i = 0; i < this->seedCount; ++i) {
+            if (i != number) {
+                seeds.push_back({1, i});
+            }
+        }
+        return seeds;
+    }
+
+    //! VMs that the others know without the store.
+    std::uint16_t seedCount = 0;
+
     ManualClock clock;
     net::ManualEventLoop loop{this->clock};
     standins::MemoryStore store{this->loop};
     std::vector<VmName> names;
     std::vector<std::unique_ptr<Vm>> vms;
+    std::vector<std::unique_ptr<Vm>> ended;
 };
 }
--- a/src/distribution/tests/relaycodectest.cpp
+++ b/src/distribution/tests/relaycodectest.cpp
@@ -12,6 +12,7 @@
         RelayAnswer answer{.verdict =
                                values.empty() ? RelayVerdict::Nothing : RelayVerdict::Changes};
         answer.listing.revision = revision;
+        answer.age = std::chrono::milliseconds(revision % 100000);
         for (const std::string &value : values) {
             const bool isRemoval = value.empty();
             answer.listing.items.push_back({.key = "k" + std::to_string(value.size()),
@@ -24,6 +25,7 @@
         RC_ASSERT(read.has_value());
         RC_ASSERT(read->verdict == answer.verdict);
         RC_ASSERT(read->listing.revision == revision);
+        RC_ASSERT(read->age == answer.age);
         RC_ASSERT(read->listing.items.size() == values.size());
         for (std::size_t i = 0; i < values.size(); ++i) {
             const store::StoreItem &item = read->listing.items[i];
@@ -42,12 +44,15 @@
         "",
         "[]",
         "{}",
-        R"({"revision": "7", "askStore": false, "changes": []})",
-        R"({"revision": 7, "changes": []})",
-        R"({"revision": 7, "askStore": false, "changes": {}})",
-        R"({"revision": 7, "askStore": false, "changes": [7]})",
-        R"({"revision": 7, "askStore": false, "changes": [{"key": "a", "revision": 1}]})",
-        R"({"revision": 7, "askStore": false,
+        R"({"revision": "7", "askStore": false, "ageMs": 0, "changes": []})",
+        R"({"revision": 7, "ageMs": 0, "changes": []})",
+        R"({"revision": 7, "askStore": false, "changes": []})",
+        R"({"revision": 7, "askStore": false, "ageMs": -1, "changes": []})",
+        R"({"revision": 7, "askStore": false, "ageMs": "0", "changes": []})",
+        R"({"revision": 7, "askStore": false, "ageMs": 0, "changes": {}})",
+        R"({"revision": 7, "askStore": false, "ageMs": 0, "changes": [7]})",
+        R"({"revision": 7, "askStore": false, "ageMs": 0, "changes": [{"key": "a", "revision": 1}]})",
+        R"({"revision": 7, "askStore": false, "ageMs": 0,
             "changes": [{"key": "a", "revision": 1, "created": 1, "value": "%"}]})",
     };
     for (const char *row : rows) {
--- a/src/distribution/types/relayanswer.h
+++ b/src/distribution/types/relayanswer.h
@@ -2,6 +2,7 @@
 
 #include "store/types/storelisting.h"
 
+#include <chrono>
 #include <cstdint>
 
 namespace radishladder::distribution {
@@ -18,5 +19,8 @@
 {
     RelayVerdict verdict = RelayVerdict::Unable;
     store::StoreListing listing;
+
+    //! Since the neighbour last heard the store, if a copy of any age was asked for.
+    std::chrono::milliseconds age{0};
 };
 }
--- a/src/settings/internal/vmsettingsreader.cpp
+++ b/src/settings/internal/vmsettingsreader.cpp
@@ -38,6 +38,21 @@
     reader.rejectUnknownFields();
 }
 
+void readSeeds(FieldReader &reader, VmSettings &settings)
+{
+    for (const Json::Value &entry : reader.array("seeds", false)) {
+        const auto seed = entry.isString() ? net::parseEndpoint(entry.asString()) : std::nullopt;
+        if (!seed || seed->port == 0) {
+            reader.fail(ResultCode::FieldType, "seeds", "has an entry that is no address and port");
+            return;
+        }
+        // A VM that starts has nothing to tell itself.
+        if (seed != settings.relay) {
+            settings.seeds.push_back(*seed);
+        }
+    }
+}
+
 void checkPorts(FieldReader &reader, const VmSettings &settings)
 {
     const std::pair<const char *, net::Endpoint> endpoints[] = {{"packets", settings.packets},
@@ -82,6 +97,7 @@
     settings.operations = reader.endpoint("operations");
     settings.relay = reader.endpointIfGiven("relay");
     settings.store = reader.endpoint("store");
+    readSeeds(reader, settings);
     settings.firstStart = reader.booleanOr("firstStart", false);
     settings.automaticActions = reader.booleanOr("automaticActions", true);
     settings.flowLogLines = static_cast<int>(
--- a/src/settings/tests/vmsettingsreadertest.cpp
+++ b/src/settings/tests/vmsettingsreadertest.cpp
@@ -45,6 +45,20 @@
     cr_assert(relayed.has_value(), "%s", reader.lastReason().detail.c_str());
 }
 
+Test(vmsettingsreader, a_vm_is_no_seed_of_its_own)
+{
+    VmSettingsReader reader;
+    const auto settings =
+        reader.parse(replaced("\"store\"",
+                              "\"relay\": \"10.1.0.10:7\", \"firstStart\": true, "
+                              "\"seeds\": [\"10.1.0.10:7\", \"10.1.0.11:7\"], \"store\""),
+                     "vm.json");
+    cr_assert(settings.has_value(), "%s", reader.lastReason().detail.c_str());
+    cr_assert_eq(settings->seeds.size(), 1U);
+    cr_assert_str_eq(net::endpointText(settings->seeds.front()).c_str(), "10.1.0.11:7");
+    cr_assert(settings->firstStart);
+}
+
 Test(vmsettingsreader, errors_name_file_place_and_reason)
 {
     struct Row
@@ -61,6 +75,11 @@
         {"10.1.0.10:8172", "10.1.0.10:0", ResultCode::FieldRange, "/packets"},
         {"\"store\"", "\"relay\": \"10.1.0.10\", \"store\"", ResultCode::FieldType, "/relay"},
         {"\"store\"", "\"relay\": \"10.1.0.10:0\", \"store\"", ResultCode::FieldRange, "/relay"},
+        {"\"store\"", "\"seeds\": [\"10.1.0.11\"], \"store\"", ResultCode::FieldType, "/seeds"},
+        {"\"store\"", "\"seeds\": [\"10.1.0.11:0\"], \"store\"", ResultCode::FieldType, "/seeds"},
+        {"\"store\"", "\"seeds\": [7], \"store\"", ResultCode::FieldType, "/seeds"},
+        {"\"store\"", "\"seeds\": \"10.1.0.11:1\", \"store\"", ResultCode::FieldType, "/seeds"},
+        {"\"store\"", "\"firstStart\": 1, \"store\"", ResultCode::FieldType, "/firstStart"},
         {"3000", "0", ResultCode::FieldRange, "/limits/drainMs"},
         {"1.5", "\"much\"", ResultCode::FieldType, "/limits/warmupOverage"},
         {"\"memoryMb\": 260", "\"memoryGb\": 1", ResultCode::FieldUnknown, "/limits/memoryGb"},
--- a/src/settings/types/vmsettings.h
+++ b/src/settings/types/vmsettings.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <optional>
+#include <vector>
 
 namespace radishladder::settings {
 
@@ -30,6 +31,9 @@
     //! The whole system starts for the first time, and nobody waits to be served yet.
     bool firstStart = false;
 
+    //! Relay addresses of VMs that may know what this one needs while the store does not answer.
+    std::vector<net::Endpoint> seeds;
+
     //! The platform's store.
     net::Endpoint store;
 
--- a/src/store/internal/prefixfollower.cpp
+++ b/src/store/internal/prefixfollower.cpp
@@ -49,6 +49,10 @@
         this->retryLater(&PrefixFollower::restart);
         return;
     }
+    if (page.age) {
+        this->useOld(page);
+        return;
+    }
     this->noteSuccess();
     // Pages are no snapshot: the watch starts at the first page's revision and repeats what the
     // later pages already show.
@@ -70,6 +74,15 @@
                    &PrefixFollower::watch);
 }
 
+void PrefixFollower::useOld(const StoreListing &listing)
+{
+    this->seenRevision = listing.revision;
+    this->synchronized = true;
+    this->listener.onSnapshot(listing.items);
+    this->loseContact("the store has not confirmed what a neighbour handed over");
+    this->retryLater(&PrefixFollower::watch);
+}
+
 void PrefixFollower::watch()
 {
     // After trouble the first answer must come at once, changes or not: it tells that the store is
--- a/src/store/prefixfollower.h
+++ b/src/store/prefixfollower.h
@@ -41,6 +41,7 @@
 private:
     void listFrom(const std::string &afterKey);
     void onPage(const StoreListing &page);
+    void useOld(const StoreListing &listing);
     void watch();
     void watchFor(std::chrono::milliseconds wait);
     void onWatched(const StoreListing &changes);
--- a/src/store/types/storelisting.h
+++ b/src/store/types/storelisting.h
@@ -3,7 +3,9 @@
 #include "store/types/storeitem.h"
 #include "store/types/storestatus.h"
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +26,9 @@
     //! A neighbour passed it on; it cost no call to the store.
     bool isRelayed = false;
 
+    //! Set if the store did not answer, and a neighbour handed over what it heard so long ago.
+    std::optional<std::chrono::milliseconds> age;
+
     //! Why there is no listing.
     std::string detail;
 };
