Give the soak's VMs seeds, and check array settings with a wrong type

Cause: the soak did not cover starts from VMs that run on; the page test took an empty array as wrong for every field, which it is not for seeds. Change: two seeds a data centre in the soak; the wrong type is an array in an array, which no field takes.

--- a/src/settings/tests/pagestest.cpp
+++ b/src/settings/tests/pagestest.cpp
@@ -167,7 +167,9 @@
         VmSettingsReader reader;
         cr_assert_eq(reader.read(file).has_value(), row[3] != "required", "%s", row[0].c_str());
         Json::Value with = *full;
+        // No field takes an array in an array; some take an empty one.
         with[row[0]] = Json::Value(Json::arrayValue);
+        with[row[0]].append(Json::Value(Json::arrayValue));
         std::ofstream(file) << jsonText(with);
         cr_assert(!reader.read(file).has_value());
         cr_assert(reader.lastReason().code != ResultCode::FieldUnknown, "%s", row[0].c_str());
--- a/tools/radishbench/vmhandle.cpp
+++ b/tools/radishbench/vmhandle.cpp
@@ -51,12 +51,17 @@
     const auto at = [this](std::uint16_t port) {
         return net::endpointText(this->addresses.vm(this->dataCentreNumber, this->number, port));
     };
+    const auto seedAt = [this](int seed) {
+        return net::endpointText(
+            this->addresses.vm(this->dataCentreNumber, seed, Addresses::kRelay));
+    };
     std::ofstream(this->directory + "/" + this->ownName + ".json")
         << "{\"name\": \"" << this->ownName << "\", \"dataCentre\": \"" << this->ownDataCentre
         << "\", \"packets\": \"" << at(Addresses::kPackets) << "\", \"readiness\": \""
         << at(Addresses::kReadiness) << "\", \"operations\": \"" << at(Addresses::kOperations)
-        << "\", \"relay\": \"" << at(Addresses::kRelay) << "\", \"store\": \""
-        << net::endpointText(this->store) << "\", \"limits\": {\"drainMs\": 3000}}\n";
+        << "\", \"relay\": \"" << at(Addresses::kRelay) << "\", \"seeds\": [\"" << seedAt(0)
+        << "\", \"" << seedAt(1) << "\"], \"store\": \"" << net::endpointText(this->store)
+        << "\", \"limits\": {\"drainMs\": 3000}}\n";
 }
 
 void VmHandle::start()
