End one silent flow while other upstreams answer promptly

Change: one flow whose request was repeated three times (1.4 s) suffices while three requests were answered before any repeat within the last 0.8 s: a VM that is slow or cut off sees no such answers (flowdirectortest, rows for both). Ruled out: sharing evidence between VMs; a dead upstream has some two flows in its data centre, so it comes hardly sooner.

--- a/src/flows/flowtable.h
+++ b/src/flows/flowtable.h
@@ -4,6 +4,7 @@
 #include "flows/types/flowrecord.h"
 #include "flows/types/upstreamload.h"
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <unordered_map>
@@ -40,6 +41,10 @@
     //! A packet of \a record was repeated without an answer since \a since.
     void noteSilence(FlowRecord &record, TimePoint since);
 
+    //! True if several requests were answered lately before their callers repeated them, so that
+    //! neither this VM nor its links hold packets up.
+    bool answersPromptly(TimePoint now) const;
+
     //! Null if no flow was seen on \a upstream.
     const UpstreamLoad *load(upstreams::UpstreamId upstream) const;
 
@@ -65,6 +70,9 @@
     void release(FlowRecord &record);
 
     std::size_t capacity;
+
+    //! When the last requests that were not repeated were answered, the oldest first.
+    std::array<TimePoint, 3> promptAnswers;
     std::unordered_map<FlowKey, FlowRecord> records;
     std::unordered_map<upstreams::UpstreamId, UpstreamLoad> loads;
 };
--- a/src/flows/internal/flowtable.cpp
+++ b/src/flows/internal/flowtable.cpp
@@ -12,6 +12,9 @@
 constexpr std::chrono::milliseconds kOpeningTime{3000};
 constexpr std::chrono::milliseconds kClosingTime{3000};
 
+//! Time in which the last prompt answers must have come.
+constexpr std::chrono::milliseconds kPromptWindow{800};
+
 constexpr std::chrono::milliseconds kFirstTrialPause{500};
 constexpr std::chrono::milliseconds kLongestTrialPause{2000};
 }
@@ -85,6 +88,10 @@
 
 void FlowTable::noteProgress(FlowRecord &record, TimePoint now)
 {
+    if (record.isBusy && record.repeats == 0) {
+        std::ranges::rotate(this->promptAnswers, this->promptAnswers.begin() + 1);
+        this->promptAnswers.back() = now;
+    }
     record.repeats = 0;
     record.isCountedSilent = false;
     UpstreamLoad &load = this->loadOf(record.upstream);
@@ -105,6 +112,11 @@
     ++load.silentFlows;
 }
 
+bool FlowTable::answersPromptly(TimePoint now) const
+{
+    return now - this->promptAnswers.front() <= kPromptWindow;
+}
+
 const UpstreamLoad *FlowTable::load(upstreams::UpstreamId upstream) const
 {
     const auto known = this->loads.find(upstream);
--- a/src/flows/internal/openflowdirector.cpp
+++ b/src/flows/internal/openflowdirector.cpp
@@ -18,7 +18,7 @@
 //! An answer that comes so long after a packet was not on its way when the packet was sent.
 constexpr std::chrono::milliseconds kConfirmationAge{300};
 
-//! Silence after which two flows suffice; one may be silent since this VM is slow itself.
+//! Silence after which two flows suffice, or one if other upstreams answer promptly.
 constexpr std::chrono::milliseconds kLongSilence{1200};
 constexpr int kSilentFlowsAfterLong = 2;
 constexpr int kRepeatsForReset = 3;
@@ -227,8 +227,11 @@
     const auto waited = now - record.waitingSince;
     const bool manyWait = load->silentFlows >= kSilentFlowsForReset
         && record.repeats >= kRepeatsForSharedReset && waited >= kSharedSilence;
-    const bool waitsLong = load->silentFlows >= kSilentFlowsAfterLong
-        && record.repeats >= kRepeatsForReset && waited >= kLongSilence;
+    // Load pattern: in a large fleet each VM has one flow on an upstream that dies. A VM that is
+    // slow itself sees one silent flow on each of many upstreams, but no prompt answers.
+    const bool isEnough = load->silentFlows >= kSilentFlowsAfterLong
+        || (load->silentFlows > 0 && this->table.answersPromptly(now));
+    const bool waitsLong = isEnough && record.repeats >= kRepeatsForReset && waited >= kLongSilence;
     return manyWait || waitsLong;
 }
 }
--- a/src/flows/tests/flowdirectortest.cpp
+++ b/src/flows/tests/flowdirectortest.cpp
@@ -219,6 +219,51 @@
     }
 }
 
+Test(flowdirector, one_silent_flow_ends_early_only_while_other_upstreams_answer_promptly)
+{
+    // Replays a large fleet in which a fifth of the upstreams died without a word: each VM had a
+    // flow or two on each, and their callers waited until their deadlines.
+    struct Row
+    {
+        const char *name;
+        int repeatsOfOthers; //!< before each of their answers
+        std::chrono::milliseconds answersEvery;
+        std::chrono::milliseconds resetAt; //!< 0 for never
+    };
+    const Row rows[] = {
+        {"others are answered at once", 0, 100ms, 1400ms},
+        {"others are answered after a repeat, as in a VM that is slow itself", 1, 300ms, 0ms},
+        {"too few others are answered", 0, 700ms, 0ms},
+    };
+    for (const Row &row : rows) {
+        DirectorFixture f;
+        f.add(1);
+        sendRequests(f, 1);
+        f.add(2);
+        const auto start = f.now;
+        auto answerAt = start + row.answersEvery;
+        std::uint32_t step = 0;
+        std::chrono::milliseconds resetAt{0};
+        f.decide(f.data(90, 2, 101));
+        for (auto at = 50ms; at <= 1500ms; at += 50ms) {
+            f.now = start + at;
+            if (f.now == answerAt - 50ms && row.repeatsOfOthers > 0) {
+                f.decide(f.data(90, 2, 101 + 200 * step, 500 + 100 * step));
+            }
+            if (f.now == answerAt) {
+                ++step;
+                f.decide(f.data(90, 2, 101 + 200 * step, 500 + 100 * step));
+                answerAt += row.answersEvery;
+            }
+            const bool repeats = at == 200ms || at == 600ms || at == 1400ms;
+            if (repeats && f.decide(f.data(1, 1, 101)).action == FlowAction::Reset) {
+                resetAt = at;
+            }
+        }
+        cr_assert_eq(resetAt.count(), row.resetAt.count(), "%s", row.name);
+    }
+}
+
 Test(flowdirector, silence_ends_no_flow_that_callers_cannot_repeat_or_that_may_go_on_elsewhere)
 {
     struct Row
