Keep the client of relays apart from the store that they front

Cause: fanoutstore.cpp had grown to 364 lines and held connections, avoidance and guidance beside listings and watches. Change: RelayClient has those; a stale listing is no longer asked of the store beside a relay.

--- a/src/distribution/internal/fanoutstore.cpp
+++ b/src/distribution/internal/fanoutstore.cpp
@@ -1,22 +1,17 @@
 #include "distribution/fanoutstore.h"
 
 #include "distribution/changeboard.h"
-#include "distribution/relaychoice.h"
-#include "distribution/relaycodec.h"
 #include "distribution/relaypaths.h"
 #include "distribution/types/copyage.h"
+#include "distribution/types/relayanswer.h"
 #include "global/iclock.h"
 #include "net/ieventloop.h"
-#include "net/ihttpconnection.h"
 #include "net/query.h"
 #include "net/types/httprequest.h"
-#include "net/types/httpresult.h"
 #include "store/types/readkind.h"
 #include "store/types/storelease.h"
 #include "store/types/storelisting.h"
 #include "store/types/storewrite.h"
-#include "telemetry/ieventlog.h"
-#include "telemetry/types/logentry.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -34,20 +29,6 @@
 
 //! Longest time that a neighbour takes to hand a listing over.
 constexpr std::chrono::milliseconds kListingTimeout{250};
-
-constexpr std::chrono::milliseconds kAvoidFailed{5000};
-
-//! While the store is lost, a neighbour is asked for it each second.
-constexpr std::chrono::milliseconds kContactPeriod{1000};
-
-//! Longer than two answers of a neighbour that is followed are apart.
-constexpr std::chrono::milliseconds kGuideAge{2500};
-
-//! A neighbour that cannot tell may have started just now.
-constexpr std::chrono::milliseconds kAvoidUnable{800};
-
-//! Longer than any request to a neighbour takes.
-constexpr std::chrono::milliseconds kLaneIdle{10000};
 }
 
 struct FanoutStore::Listing
@@ -69,11 +50,12 @@
 };
 
 FanoutStore::FanoutStore(store::IStore &platform, ChangeBoard &board, net::IEventLoop &loop,
-                         const IClock &clock, telemetry::IEventLog &log, ConnectionFactory connect,
-                         VmName self, std::vector<net::Endpoint> seeds)
-    : platform(platform), board(board), loop(loop), clock(clock), log(log),
-      connect(std::move(connect)), self(std::move(self)),
-      starter(platform, clock, log, this->connect, std::move(seeds))
+                         const IClock &clock, telemetry::IEventLog &log,
+                         const RelayClient::ConnectionFactory &connect, VmName self,
+                         std::vector<net::Endpoint> seeds)
+    : platform(platform), board(board), loop(loop), clock(clock),
+      relays(clock, log, connect, std::move(self)),
+      starter(platform, clock, log, connect, std::move(seeds))
 { }
 
 FanoutStore::~FanoutStore() = default;
@@ -82,10 +64,12 @@
                        ListingHandler handler)
 {
     const Listing listing = this->begin(prefix, afterKey, kind, std::move(handler));
-    const auto relay = afterKey.empty() && !this->inTrouble ? this->pickRelay() : std::nullopt;
+    const auto relay = afterKey.empty() && !this->inTrouble ? this->relays.pick() : std::nullopt;
     if (relay) {
         this->listRelay(*relay, listing);
-        this->loop.after(kRelayLate, [this, listing]() { this->listStore(listing); });
+        if (kind == store::ReadKind::Linearizable) {
+            this->loop.after(kRelayLate, [this, listing]() { this->listStore(listing); });
+        }
     } else {
         this->listStore(listing);
     }
@@ -138,28 +122,28 @@
     const net::HttpRequest request{.path = std::string(kListingPath),
                                    .query = listingQuery(listing.prefix, age),
                                    .timeout = kListingTimeout};
-    this->ask(relay, listing.prefix, request,
-              [this, listing](const std::optional<RelayAnswer> &answer) {
-                  if (!answer || answer->verdict == RelayVerdict::AskStore) {
-                      this->listStore(listing);
-                      return;
-                  }
-                  if (*listing.isOver) {
-                      return;
-                  }
-                  *listing.isOver = true;
-                  this->starter.abandon(listing.prefix);
-                  this->board.learnListing(listing.prefix, answer->listing,
-                                           this->clock.sinceBoot() - answer->age);
-                  listing.handler(answer->listing);
-              });
+    this->relays.ask(relay, listing.prefix, request,
+                     [this, listing](const std::optional<RelayAnswer> &answer) {
+                         if (!answer || answer->verdict == RelayVerdict::AskStore) {
+                             this->listStore(listing);
+                             return;
+                         }
+                         if (*listing.isOver) {
+                             return;
+                         }
+                         *listing.isOver = true;
+                         this->starter.abandon(listing.prefix);
+                         this->board.learnListing(listing.prefix, answer->listing,
+                                                  this->clock.sinceBoot() - answer->age);
+                         listing.handler(answer->listing);
+                     });
 }
 
 void FanoutStore::watch(const std::string &prefix, std::uint64_t revision,
                         std::chrono::milliseconds wait, ListingHandler handler)
 {
     const Watch watch{prefix, revision, wait, std::move(handler)};
-    const auto relay = this->inTrouble ? std::nullopt : this->pickRelay();
+    const auto relay = this->inTrouble ? std::nullopt : this->relays.pick();
     if (relay) {
         this->watchRelay(*relay, watch);
     } else {
@@ -167,30 +151,6 @@
     }
 }
 
-std::optional<net::Endpoint> FanoutStore::pickRelay()
-{
-    if (this->membership == nullptr) {
-        return std::nullopt;
-    }
-    for (const net::Endpoint &relay : relaysFor(this->self, *this->membership)) {
-        if (!this->isAvoided(relay)) {
-            return relay;
-        }
-    }
-    return std::nullopt;
-}
-
-bool FanoutStore::hasRelay() const
-{
-    return this->membership != nullptr && !relaysFor(this->self, *this->membership).empty();
-}
-
-bool FanoutStore::isAvoided(const net::Endpoint &relay) const
-{
-    const auto failed = this->avoidedUntil.find(relay);
-    return failed != this->avoidedUntil.end() && this->clock.now() < failed->second;
-}
-
 void FanoutStore::watchStore(const Watch &watch)
 {
     // From here on neighbours can be told that nothing has changed.
@@ -214,97 +174,21 @@
             absl::StrCat("prefix=", net::percentEncoded(watch.prefix), "&after=", watch.revision,
                          "&wait_ms=", std::min(watch.wait, kRelayWait).count()),
         .timeout = kRelayWait + kRelayMargin};
-    this->ask(relay, watch.prefix, request,
-              [this, watch](const std::optional<RelayAnswer> &answer) {
-                  if (!answer || answer->verdict == RelayVerdict::AskStore) {
-                      this->watchStore(watch);
-                      return;
-                  }
-                  this->board.learnChanges(watch.prefix, watch.revision, answer->listing,
-                                           this->clock.sinceBoot());
-                  watch.handler(answer->listing);
-              });
-}
-
-void FanoutStore::ask(const net::Endpoint &relay, const std::string &prefix,
-                      const net::HttpRequest &request, RelayHandler handler)
-{
-    this->connectionTo(relay, prefix)
-        .send(request, [this, relay, prefix, handler](const net::HttpResult &result) {
-            auto answer = result.status == 200 ? parseRelayText(result.body) : std::nullopt;
-            if (answer) {
-                answer->listing.isRelayed = true;
-                this->guidedAt = this->clock.now();
-            } else {
-                this->noteFailed(relay, prefix, result);
-            }
-            handler(std::move(answer));
-        });
-}
-
-void FanoutStore::noteFailed(const net::Endpoint &relay, const std::string &prefix,
-                             const net::HttpResult &result)
-{
-    const bool isUnable = result.status == kCannotTell;
-    this->avoidedUntil[relay] = this->clock.now() + (isUnable ? kAvoidUnable : kAvoidFailed);
-    this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "relay.failed")
-                        .text("relay", net::endpointText(relay))
-                        .text("prefix", prefix)
-                        .number("status", result.status)
-                        .text("detail", result.reason.detail));
-    if (result.status == kStoreLost && this->isGuided() && !this->inTrouble) {
-        this->guide(false);
-    }
-}
-
-void FanoutStore::guide(bool answers)
-{
-    if (this->guideHandler) {
-        this->guideHandler(answers);
-    }
-}
-
-bool FanoutStore::isGuided() const
-{
-    return this->guidedAt && this->clock.now() - *this->guidedAt <= kGuideAge;
-}
-
-void FanoutStore::askForContact()
-{
-    const auto relay = this->pickRelay();
-    if (!relay || this->clock.now() - this->askedForContactAt < kContactPeriod) {
-        return;
-    }
-    this->askedForContactAt = this->clock.now();
-    const net::HttpRequest request{.path = std::string(kContactPath), .timeout = kListingTimeout};
-    this->connectionTo(*relay, std::string(kContactPath))
-        .send(request, [this, relay = *relay](const net::HttpResult &result) {
-            if (result.status != 200 && result.status != kStoreLost) {
-                this->noteFailed(relay, std::string(kContactPath), result);
-                return;
-            }
-            this->guidedAt = this->clock.now();
-            if (result.status == 200 && this->inTrouble) {
-                this->guide(true);
-            }
-        });
-}
-
-net::IHttpConnection &FanoutStore::connectionTo(const net::Endpoint &relay,
-                                                const std::string &prefix)
-{
-    Lane &lane = this->lanes[{prefix, relay}];
-    if (!lane.connection) {
-        lane.connection = this->connect(relay);
-    }
-    lane.usedAt = this->clock.now();
-    return *lane.connection;
+    this->relays.ask(relay, watch.prefix, request,
+                     [this, watch](const std::optional<RelayAnswer> &answer) {
+                         if (!answer || answer->verdict == RelayVerdict::AskStore) {
+                             this->watchStore(watch);
+                             return;
+                         }
+                         this->board.learnChanges(watch.prefix, watch.revision, answer->listing,
+                                                  this->clock.sinceBoot());
+                         watch.handler(answer->listing);
+                     });
 }
 
 void FanoutStore::abandon(const std::string &prefix)
 {
-    std::erase_if(this->lanes,
-                  [&prefix](const auto &entry) { return entry.first.first == prefix; });
+    this->relays.abandon(prefix);
     const auto open = this->listingOver.find(prefix);
     if (open != this->listingOver.end()) {
         *open->second = true;
@@ -352,13 +236,7 @@
 
 void FanoutStore::tick()
 {
-    const auto now = this->clock.now();
     this->starter.tick(this->inTrouble);
-    if (this->inTrouble) {
-        this->askForContact();
-    }
-    std::erase_if(this->lanes,
-                  [now](const auto &entry) { return now - entry.second.usedAt > kLaneIdle; });
-    std::erase_if(this->avoidedUntil, [now](const auto &entry) { return now >= entry.second; });
+    this->relays.tick(this->inTrouble);
 }
 }
--- a/src/distribution/tests/prefixcopytest.cpp
+++ b/src/distribution/tests/prefixcopytest.cpp
@@ -85,7 +85,7 @@
     for (const Row &row : rows) {
         PrefixCopy copy;
         row.hear(copy);
-        cr_assert_str_eq(keysOf(copy).c_str(), row.keys, "%s", row.name);
+        cr_assert(keysOf(copy) == row.keys, "%s", row.name);
         const auto listing = copy.listing();
         cr_assert_eq(listing ? listing->revision : 0, row.revision, "%s", row.name);
     }
--- a/src/flows/internal/flowtable.cpp
+++ b/src/flows/internal/flowtable.cpp
@@ -89,7 +89,8 @@
 void FlowTable::noteProgress(FlowRecord &record, TimePoint now)
 {
     if (record.isBusy && record.repeats == 0) {
-        std::ranges::rotate(this->promptAnswers, this->promptAnswers.begin() + 1);
+        std::rotate(this->promptAnswers.begin(), this->promptAnswers.begin() + 1,
+                    this->promptAnswers.end());
         this->promptAnswers.back() = now;
     }
     record.repeats = 0;
--- a/src/settings/tests/vmsettingsreadertest.cpp
+++ b/src/settings/tests/vmsettingsreadertest.cpp
@@ -55,7 +55,7 @@
                      "vm.json");
     cr_assert(settings.has_value(), "%s", reader.lastReason().detail.c_str());
     cr_assert_eq(settings->seeds.size(), 1U);
-    cr_assert_str_eq(net::endpointText(settings->seeds.front()).c_str(), "10.1.0.11:7");
+    cr_assert(net::endpointText(settings->seeds.front()) == "10.1.0.11:7");
     cr_assert(settings->firstStart);
 }
 
