Count calls to the store by purpose

Change: gauge store_calls_by_purpose (list, stale_list, watch, grant_lease, renew_lease, end_lease, write).

--- a/src/app/storeview.h
+++ b/src/app/storeview.h
@@ -69,7 +69,7 @@
     bool isFrozen() const { return this->freeze.isFrozen(); }
 
     //! Calls to the store so far.
-    std::uint64_t calls() const { return this->store.calls(); }
+    const platform::CallCounts &calls() const { return this->store.calls(); }
 
 private:
     void onStoreTrouble(const std::string &detail) override;
--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -214,7 +214,11 @@
 
 void VmProcess::Parts::publishGauges()
 {
-    this->metrics.gauge("store_calls").set(static_cast<double>(this->storeView.calls()));
+    this->storeView.calls().each([this](std::string_view purpose, std::uint64_t count) {
+        this->metrics.gauge("store_calls_by_purpose", {{"purpose", std::string(purpose)}})
+            .set(static_cast<double>(count));
+    });
+    this->metrics.gauge("store_calls").set(static_cast<double>(this->storeView.calls().total()));
     this->metrics.gauge("control_sent_bytes").set(static_cast<double>(this->control.sent));
     this->metrics.gauge("control_received_bytes").set(static_cast<double>(this->control.received));
     this->metrics.gauge("relay_followers")
@@ -248,7 +252,7 @@
             LogEntry(LogKind::State, "process.stopped")
                 .number("flows", static_cast<std::int64_t>(this->table.size()))
                 .duration("uptime_ms", uptime)
-                .number("store_calls", static_cast<std::int64_t>(this->storeView.calls()))
+                .number("store_calls", static_cast<std::int64_t>(this->storeView.calls().total()))
                 .number("control_sent_bytes", static_cast<std::int64_t>(this->control.sent))
                 .number("control_received_bytes",
                         static_cast<std::int64_t>(this->control.received)));
