Give up the request that waits when another one is sent over its connection

Cause: looking for late answers on a connection in use again: a neighbour's listing may still be on its way when the store has answered beside it, and the next question to that neighbour uses the same connection. Today's pauses keep them apart, but nothing in the connection did: the second handler replaced the first, its answer came to the wrong one, and the process ended by a bad function call (httptest fails so first). Change: the earlier request fails and its connection is closed; the later one gets its own answer.

--- a/src/framework/net/ihttpconnection.h
+++ b/src/framework/net/ihttpconnection.h
@@ -15,7 +15,8 @@
     virtual ~IHttpConnection() = default;
 
     //! Sends \a request; \a handler is called exactly once unless the connection is destroyed
-    //! first. After a failure the next request opens a new connection.
+    //! first. After a failure the next request opens a new connection. A request that still waits
+    //! for its answer is given up and fails.
     virtual void send(const HttpRequest &request, Handler handler) = 0;
 };
 }
--- a/src/framework/net/internal/libeventhttpconnection.cpp
+++ b/src/framework/net/internal/libeventhttpconnection.cpp
@@ -89,6 +89,19 @@
         }
     }
 
+    //! Closes the connection under the request that waits: its answer, which may still come, must
+    //! not be taken for that of the next one.
+    void giveUp()
+    {
+        const Handler earlier = std::move(this->handler);
+        this->handler = [](const HttpResult &) {};
+        evhttp_connection *old = this->connection;
+        this->connection = nullptr;
+        this->release(old);
+        this->handler = nullptr;
+        earlier({.reason = {ResultCode::StoreUnreachable, "given up for another request"}});
+    }
+
     static void onDone(evhttp_request *request, void *context)
     {
         auto *state = static_cast<State *>(context);
@@ -121,6 +134,9 @@
 void LibeventHttpConnection::send(const HttpRequest &request, Handler handler)
 {
     this->state->release(this->state->discarded);
+    if (this->state->handler != nullptr) {
+        this->state->giveUp();
+    }
     if (this->state->connection == nullptr) {
         this->state->connect();
     }
--- a/src/framework/net/tests/httptest.cpp
+++ b/src/framework/net/tests/httptest.cpp
@@ -82,6 +82,36 @@
     cr_assert_eq(f.results[1].status, 200);
 }
 
+Test(http, a_request_over_another_one_gets_its_own_answer_and_the_other_one_fails)
+{
+    // A server that answers late must not have its answer taken for that of the next request.
+    Fixture f(21877);
+    IHttpServer::Responder late;
+    cr_assert(f.server.start(
+        f.address, [&late](const HttpRequest &request, const IHttpServer::Responder &respond) {
+            if (request.path == "/late") {
+                late = respond;
+            } else {
+                respond({.body = request.path});
+            }
+        }));
+    std::vector<HttpResult> first;
+    std::vector<HttpResult> second;
+    f.connection.send({.path = "/late"}, [&first](const HttpResult &r) { first.push_back(r); });
+    f.loop.after(100ms, [&f, &second]() {
+        f.connection.send({.path = "/next"},
+                          [&second](const HttpResult &r) { second.push_back(r); });
+    });
+    f.loop.after(150ms, [&late]() { late({.body = "/late"}); });
+    f.loop.after(500ms, [&f]() { f.loop.stop(); });
+    f.loop.run();
+    cr_assert_eq(first.size(), 1U);
+    cr_assert_eq(first[0].status, 0);
+    cr_assert_eq(second.size(), 1U);
+    cr_assert_eq(second[0].status, 200);
+    cr_assert(second[0].body == "/next");
+}
+
 Test(http, bound_address_is_reported)
 {
     Fixture f(21873);
