Name the clients of relays and seeds after whom they ask, and fuzz neighbours' questions

Change: SeedClient, watchContact, hasLiveRelay; event start.from_seed; a fuzz entry for the relay's questions. No behaviour.

--- a/src/app/storeview.cpp
+++ b/src/app/storeview.cpp
@@ -76,7 +76,7 @@
 {
     this->contactHandler = std::move(handler);
     this->members.watchContact(*this);
-    this->fanout.watchGuide([this](bool answers) {
+    this->fanout.watchContact([this](bool answers) {
         if (answers) {
             this->members.check();
         } else {
@@ -124,7 +124,7 @@
     this->upstreamKeeper.tick();
     this->relayServer.tick();
     this->fanout.tick();
-    this->members.setGuided(this->fanout.isGuided());
+    this->members.setLiveRelay(this->fanout.hasLiveRelay());
 }
 
 void StoreView::onStoreTrouble(const std::string &detail)
--- a/src/distribution/fanoutstore.h
+++ b/src/distribution/fanoutstore.h
@@ -59,13 +59,13 @@
     void onStoreReturned() override;
 
     //! Hears from a neighbour that the store is lost, or answers again.
-    void watchGuide(RelayClient::GuideHandler handler)
+    void watchContact(RelayClient::ContactHandler handler)
     {
-        this->relays.watchGuide(std::move(handler));
+        this->relays.watchContact(std::move(handler));
     }
 
     //! True if a neighbour that is followed would tell at once that the store is lost or back.
-    bool isGuided() const { return this->relays.isGuided(); }
+    bool hasLiveRelay() const { return this->relays.hasLiveRelay(); }
 
     //! Call it a few times a second.
     void tick();
--- a/src/distribution/internal/relayclient.cpp
+++ b/src/distribution/internal/relayclient.cpp
@@ -23,7 +23,7 @@
 constexpr std::chrono::milliseconds kContactTimeout{250};
 
 //! Longer than two answers of a neighbour that is followed are apart.
-constexpr std::chrono::milliseconds kGuideAge{2500};
+constexpr std::chrono::milliseconds kLiveAge{2500};
 
 //! Longer than any request to a neighbour takes.
 constexpr std::chrono::milliseconds kLaneIdle{10000};
@@ -68,7 +68,7 @@
             auto answer = result.status == 200 ? parseRelayText(result.body) : std::nullopt;
             if (answer) {
                 answer->listing.isRelayed = true;
-                this->guidedAt = this->clock.now();
+                this->answeredAt = this->clock.now();
             } else {
                 this->noteFailed(relay, prefix, result);
             }
@@ -103,21 +103,21 @@
                         .text("prefix", prefix)
                         .number("status", result.status)
                         .text("detail", result.reason.detail));
-    if (result.status == kStoreLost && this->isGuided() && !this->isStoreLost) {
-        this->guide(false);
+    if (result.status == kStoreLost && this->hasLiveRelay() && !this->isStoreLost) {
+        this->tellContact(false);
     }
 }
 
-void RelayClient::guide(bool answers)
+void RelayClient::tellContact(bool answers)
 {
-    if (this->guideHandler) {
-        this->guideHandler(answers);
+    if (this->contactHandler) {
+        this->contactHandler(answers);
     }
 }
 
-bool RelayClient::isGuided() const
+bool RelayClient::hasLiveRelay() const
 {
-    return this->guidedAt && this->clock.now() - *this->guidedAt <= kGuideAge;
+    return this->answeredAt && this->clock.now() - *this->answeredAt <= kLiveAge;
 }
 
 void RelayClient::askForContact()
@@ -140,9 +140,9 @@
         this->noteFailed(relay, std::string(kContactPath), result);
         return;
     }
-    this->guidedAt = this->clock.now();
+    this->answeredAt = this->clock.now();
     if (result.status == 200 && this->isStoreLost) {
-        this->guide(true);
+        this->tellContact(true);
     }
 }
 
--- a/src/distribution/internal/survivorsource.cpp
+++ b/src/distribution/internal/seedclient.cpp
@@ -1,4 +1,4 @@
-#include "distribution/survivorsource.h"
+#include "distribution/seedclient.h"
 
 #include "distribution/relaycodec.h"
 #include "distribution/relaypaths.h"
@@ -16,14 +16,14 @@
 constexpr std::chrono::milliseconds kRepeatEvery{500};
 }
 
-SurvivorSource::SurvivorSource(const IClock &clock, ConnectionFactory connect,
-                               std::vector<net::Endpoint> vms)
+SeedClient::SeedClient(const IClock &clock, ConnectionFactory connect,
+                       std::vector<net::Endpoint> vms)
     : clock(clock), connect(std::move(connect)), vms(std::move(vms))
 { }
 
-SurvivorSource::~SurvivorSource() = default;
+SeedClient::~SeedClient() = default;
 
-void SurvivorSource::ask(const std::string &prefix, Handler handler)
+void SeedClient::ask(const std::string &prefix, Handler handler)
 {
     Question &question = this->questions[prefix];
     question.handler = std::move(handler);
@@ -31,7 +31,7 @@
     this->send(prefix, question);
 }
 
-void SurvivorSource::cancel(const std::string &prefix)
+void SeedClient::cancel(const std::string &prefix)
 {
     const auto question = this->questions.find(prefix);
     if (question != this->questions.end()) {
@@ -40,7 +40,7 @@
     }
 }
 
-void SurvivorSource::tick()
+void SeedClient::tick()
 {
     std::erase_if(this->questions, [](const auto &entry) { return entry.second.isOver; });
     for (auto &[prefix, question] : this->questions) {
@@ -50,7 +50,7 @@
     }
 }
 
-void SurvivorSource::send(const std::string &prefix, Question &question)
+void SeedClient::send(const std::string &prefix, Question &question)
 {
     const net::HttpRequest request{.path = std::string(kListingPath),
                                    .query = listingQuery(prefix, CopyAge::Any),
@@ -66,8 +66,8 @@
     }
 }
 
-void SurvivorSource::onResult(const std::string &prefix, const net::Endpoint &vm,
-                              const net::HttpResult &result)
+void SeedClient::onResult(const std::string &prefix, const net::Endpoint &vm,
+                          const net::HttpResult &result)
 {
     const auto question = this->questions.find(prefix);
     if (question == this->questions.end() || question->second.isOver || result.status != 200) {
--- a/src/distribution/internal/startlister.cpp
+++ b/src/distribution/internal/startlister.cpp
@@ -16,8 +16,8 @@
 }
 
 StartLister::StartLister(store::IStore &store, const IClock &clock, telemetry::IEventLog &log,
-                         SurvivorSource::ConnectionFactory connect, std::vector<net::Endpoint> vms)
-    : store(store), clock(clock), log(log), survivors(clock, std::move(connect), std::move(vms))
+                         SeedClient::ConnectionFactory connect, std::vector<net::Endpoint> vms)
+    : store(store), clock(clock), log(log), seeds(clock, std::move(connect), std::move(vms))
 { }
 
 void StartLister::list(const std::string &prefix, store::IStore::ListingHandler handler)
@@ -34,7 +34,7 @@
 void StartLister::abandon(const std::string &prefix)
 {
     this->awaited.erase(prefix);
-    this->survivors.cancel(prefix);
+    this->seeds.cancel(prefix);
 }
 
 void StartLister::onStore(const std::string &prefix, std::uint64_t number,
@@ -44,7 +44,7 @@
     if (waiting == this->awaited.end() || waiting->second.number != number) {
         return;
     }
-    if (page.status != store::StoreStatus::Ok && this->survivors.hasVms()) {
+    if (page.status != store::StoreStatus::Ok && this->seeds.hasVms()) {
         waiting->second.failure = page;
     } else {
         this->finish(prefix, page);
@@ -53,12 +53,12 @@
 
 void StartLister::tick(bool isStoreLost)
 {
-    this->survivors.tick();
+    this->seeds.tick();
     std::vector<std::string> givenUp;
     for (auto &[prefix, waiting] : this->awaited) {
         const auto waited = this->clock.now() - waiting.since;
         if (!waiting.isAsked && (waiting.failure || waited >= kLate)) {
-            this->askSurvivors(prefix, waiting);
+            this->askSeeds(prefix, waiting);
         }
         if (waiting.failure && !isStoreLost && waited >= kGiveUp) {
             givenUp.push_back(prefix);
@@ -69,21 +69,21 @@
     }
 }
 
-void StartLister::askSurvivors(const std::string &prefix, Awaited &waiting)
+void StartLister::askSeeds(const std::string &prefix, Awaited &waiting)
 {
     waiting.isAsked = true;
-    this->survivors.ask(prefix, [this, prefix](const net::Endpoint &vm, const RelayAnswer &answer) {
-        this->onSurvivor(prefix, vm, answer);
+    this->seeds.ask(prefix, [this, prefix](const net::Endpoint &vm, const RelayAnswer &answer) {
+        this->onSeed(prefix, vm, answer);
     });
 }
 
-void StartLister::onSurvivor(const std::string &prefix, const net::Endpoint &vm,
-                             const RelayAnswer &answer)
+void StartLister::onSeed(const std::string &prefix, const net::Endpoint &vm,
+                         const RelayAnswer &answer)
 {
     if (!this->awaited.contains(prefix)) {
         return;
     }
-    this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "start.from_neighbour")
+    this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "start.from_seed")
                         .text("vm", net::endpointText(vm))
                         .text("prefix", prefix)
                         .number("items", static_cast<std::int64_t>(answer.listing.items.size()))
--- a/src/distribution/relayclient.h
+++ b/src/distribution/relayclient.h
@@ -36,7 +36,7 @@
     using ConnectionFactory =
         std::function<std::unique_ptr<net::IHttpConnection>(const net::Endpoint &relay)>;
     using AnswerHandler = std::function<void(const std::optional<RelayAnswer> &answer)>;
-    using GuideHandler = std::function<void(bool answers)>;
+    using ContactHandler = std::function<void(bool answers)>;
 
     RelayClient(const IClock &clock, telemetry::IEventLog &log, ConnectionFactory connect,
                 VmName self);
@@ -59,10 +59,10 @@
     void abandon(const std::string &prefix);
 
     //! Hears from a relay that the store is lost, or answers again.
-    void watchGuide(GuideHandler handler) { this->guideHandler = std::move(handler); }
+    void watchContact(ContactHandler handler) { this->contactHandler = std::move(handler); }
 
     //! True if a relay that is followed would tell at once that the store is lost or back.
-    bool isGuided() const;
+    bool hasLiveRelay() const;
 
     //! Closes connections that are no longer used, and asks a relay for the store while that is
     //! lost; call it a few times a second.
@@ -79,7 +79,7 @@
     net::IHttpConnection &connectionTo(const net::Endpoint &relay, const std::string &prefix);
     void askForContact();
     void onContact(const net::Endpoint &relay, const net::HttpResult &result);
-    void guide(bool answers);
+    void tellContact(bool answers);
     void noteFailed(const net::Endpoint &relay, const std::string &prefix,
                     const net::HttpResult &result);
 
@@ -88,11 +88,11 @@
     ConnectionFactory connect;
     VmName self;
     const membership::IMembership *membership = nullptr;
-    GuideHandler guideHandler;
+    ContactHandler contactHandler;
     bool isStoreLost = false;
 
     //! When a relay last answered.
-    std::optional<std::chrono::steady_clock::time_point> guidedAt;
+    std::optional<std::chrono::steady_clock::time_point> answeredAt;
     std::chrono::steady_clock::time_point askedForContactAt;
 
     //! Relays that failed, with the time until which they are not asked.
--- a/src/distribution/survivorsource.h
+++ b/src/distribution/seedclient.h
@@ -24,15 +24,15 @@
 //!
 //! Load pattern: many VMs of a data centre end and start again while it is cut off or the store is
 //! away. Those that run on serve with what they know; the others need the same.
-class SurvivorSource
+class SeedClient
 {
 public:
     using ConnectionFactory =
         std::function<std::unique_ptr<net::IHttpConnection>(const net::Endpoint &vm)>;
     using Handler = std::function<void(const net::Endpoint &vm, const RelayAnswer &answer)>;
 
-    SurvivorSource(const IClock &clock, ConnectionFactory connect, std::vector<net::Endpoint> vms);
-    ~SurvivorSource();
+    SeedClient(const IClock &clock, ConnectionFactory connect, std::vector<net::Endpoint> vms);
+    ~SeedClient();
 
     //! False if there is nobody to ask.
     bool hasVms() const { return !this->vms.empty(); }
--- a/src/distribution/startlister.h
+++ b/src/distribution/startlister.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "distribution/survivorsource.h"
+#include "distribution/seedclient.h"
 #include "store/istore.h"
 #include "store/types/storelisting.h"
 
@@ -22,7 +22,7 @@
 {
 public:
     StartLister(store::IStore &store, const IClock &clock, telemetry::IEventLog &log,
-                SurvivorSource::ConnectionFactory connect, std::vector<net::Endpoint> vms);
+                SeedClient::ConnectionFactory connect, std::vector<net::Endpoint> vms);
 
     //! First page of \a prefix. What VMs hand over is whole and has an age.
     void list(const std::string &prefix, store::IStore::ListingHandler handler);
@@ -45,14 +45,14 @@
     };
 
     void onStore(const std::string &prefix, std::uint64_t number, const store::StoreListing &page);
-    void onSurvivor(const std::string &prefix, const net::Endpoint &vm, const RelayAnswer &answer);
-    void askSurvivors(const std::string &prefix, Awaited &awaited);
+    void onSeed(const std::string &prefix, const net::Endpoint &vm, const RelayAnswer &answer);
+    void askSeeds(const std::string &prefix, Awaited &awaited);
     void finish(const std::string &prefix, const store::StoreListing &listing);
 
     store::IStore &store;
     const IClock &clock;
     telemetry::IEventLog &log;
-    SurvivorSource survivors;
+    SeedClient seeds;
     std::uint64_t lastNumber = 0;
     std::map<std::string, Awaited> awaited;
 };
--- a/src/distribution/tests/fanoutstoretest.cpp
+++ b/src/distribution/tests/fanoutstoretest.cpp
@@ -110,34 +110,34 @@
     Neighbourhood all(10);
     std::map<const Neighbourhood::Vm *, std::vector<bool>> heard;
     for (const auto &vm : all.vms) {
-        vm->fanout.watchGuide([&heard, own = vm.get()](bool answers) {
+        vm->fanout.watchContact([&heard, own = vm.get()](bool answers) {
             heard[own].push_back(answers);
             if (answers) {
                 own->fanout.onStoreReturned();
             } else {
-                own->fanout.onStoreTrouble("guided");
+                own->fanout.onStoreTrouble("told by a relay");
             }
         });
     }
     // No renewal is on its way.
     all.loop.advance(2500ms);
-    const auto guides = relays(all);
-    for (auto *relay : guides) {
+    const auto sources = relays(all);
+    for (auto *relay : sources) {
         relay->link.isCut = true;
         relay->fanout.onStoreTrouble("cut");
     }
     all.loop.advance(1s);
     for (const auto &vm : all.vms) {
-        const bool isGuide = std::ranges::find(guides, vm.get()) != guides.end();
-        cr_assert_eq(heard[vm.get()].size(), isGuide ? 0U : 1U);
+        const bool isRelay = std::ranges::find(sources, vm.get()) != sources.end();
+        cr_assert_eq(heard[vm.get()].size(), isRelay ? 0U : 1U);
     }
-    for (auto *relay : guides) {
+    for (auto *relay : sources) {
         relay->link.isCut = false;
         relay->fanout.onStoreReturned();
     }
     all.loop.advance(8s);
     for (const auto &vm : all.vms) {
-        const bool isGuide = std::ranges::find(guides, vm.get()) != guides.end();
-        cr_assert(isGuide || heard[vm.get()] == (std::vector<bool>{false, true}));
+        const bool isRelay = std::ranges::find(sources, vm.get()) != sources.end();
+        cr_assert(isRelay || heard[vm.get()] == (std::vector<bool>{false, true}));
     }
 }
--- a/src/distribution/tests/survivorsourcetest.cpp
+++ b/src/distribution/tests/seedclienttest.cpp
@@ -1,4 +1,4 @@
-#include "distribution/survivorsource.h"
+#include "distribution/seedclient.h"
 
 #include "distribution/relaycodec.h"
 #include "distribution/types/relayanswer.h"
@@ -34,7 +34,7 @@
 }
 }
 
-Test(survivorsource, a_vm_that_starts_while_the_store_is_away_knows_what_survivors_know)
+Test(seedclient, a_vm_that_starts_while_the_store_is_away_knows_what_its_seeds_know)
 {
     // Replays a data centre that was cut off and most of whose VMs ended and started again.
     struct Row
@@ -94,7 +94,7 @@
     }
 }
 
-Test(survivorsource, a_store_that_is_well_is_asked_alone)
+Test(seedclient, a_store_that_is_well_is_asked_alone)
 {
     Neighbourhood all(3);
     all.seedCount = 3;
@@ -109,7 +109,7 @@
     cr_assert_eq(all.vms[0]->link.calls, before);
 }
 
-Test(survivorsource, answers_that_cannot_be_read_are_passed_over)
+Test(seedclient, answers_that_cannot_be_read_are_passed_over)
 {
     struct Row
     {
@@ -129,11 +129,11 @@
     for (const Row &row : rows) {
         ManualClock clock;
         net::ManualEventLoop loop(clock);
-        SurvivorSource source(clock,
-                              [&row](const net::Endpoint &) {
-                                  return std::make_unique<ScriptedConnection>(row.status, row.body);
-                              },
-                              {{1, 1}});
+        SeedClient source(clock,
+                          [&row](const net::Endpoint &) {
+                              return std::make_unique<ScriptedConnection>(row.status, row.body);
+                          },
+                          {{1, 1}});
         int taken = 0;
         source.ask("up/", [&taken](const net::Endpoint &, const RelayAnswer &) { ++taken; });
         for (int i = 0; i < 8; ++i) {
--- a/src/membership/internal/leasemembership.cpp
+++ b/src/membership/internal/leasemembership.cpp
@@ -24,13 +24,13 @@
 constexpr std::chrono::milliseconds kRenewEvery{2000};
 
 //! The same while a neighbour tells at once.
-constexpr std::chrono::milliseconds kGuidedRenewEvery{5000};
+constexpr std::chrono::milliseconds kRelayedRenewEvery{5000};
 constexpr std::chrono::milliseconds kRetryAfter{500};
 
 //! Between the beginnings of two calls; also bounds how long the store's return stays unnoticed.
 constexpr std::chrono::milliseconds kFirstInterval{500};
 constexpr std::chrono::milliseconds kLongestInterval{2000};
-constexpr std::chrono::milliseconds kGuidedInterval{6000};
+constexpr std::chrono::milliseconds kRelayedInterval{6000};
 
 //! Covers the time in which a VM with a lapsed lease takes a new one.
 constexpr std::chrono::milliseconds kLeaveGrace{6000};
@@ -277,7 +277,7 @@
     // has used the time up already.
     const auto taken =
         std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now() - this->calledAt);
-    const auto interval = this->guided ? kGuidedInterval : this->retryInterval;
+    const auto interval = this->hasLiveRelay ? kRelayedInterval : this->retryInterval;
     this->retryInterval = std::min(this->retryInterval * 2, kLongestInterval);
     return std::max(kRetryAfter, interval - taken);
 }
@@ -298,6 +298,6 @@
 
 void LeaseMembership::keepLater()
 {
-    this->later(this->guided ? kGuidedRenewEvery : kRenewEvery, &LeaseMembership::keep);
+    this->later(this->hasLiveRelay ? kRelayedRenewEvery : kRenewEvery, &LeaseMembership::keep);
 }
 }
--- a/src/membership/leasemembership.h
+++ b/src/membership/leasemembership.h
@@ -50,7 +50,7 @@
     void leave();
 
     //! A neighbour tells at once when the store is lost or back, so this VM asks less often.
-    void setGuided(bool isGuided) { this->guided = isGuided; }
+    void setLiveRelay(bool isLive) { this->hasLiveRelay = isLive; }
 
     //! Asks the store now whether it answers, instead of with the next renewal.
     void check();
@@ -93,7 +93,7 @@
     std::uint64_t lease = 0;
     store::IContactListener *contactListener = nullptr;
     bool inTrouble = false;
-    bool guided = false;
+    bool hasLiveRelay = false;
 
     //! Of the timer that counts; earlier ones are void.
     std::uint64_t timer = 0;
--- a/src/membership/tests/leasemembershiptest.cpp
+++ b/src/membership/tests/leasemembershiptest.cpp
@@ -215,12 +215,12 @@
     }
 }
 
-Test(leasemembership, a_vm_that_a_neighbour_guides_asks_seldom_and_hears_of_the_store_at_once)
+Test(leasemembership, a_vm_with_a_live_relay_asks_seldom_and_hears_of_the_store_at_once)
 {
     Fixture f;
     f.loop.advance(5s);
     for (Vm *vm : {&f.a, &f.b, &f.c}) {
-        vm->membership.setGuided(true);
+        vm->membership.setLiveRelay(true);
     }
     f.loop.advance(3s);
     const std::uint64_t before = f.store.calls();
--- a/tools/fuzz/fuzzplatform.cpp
+++ b/tools/fuzz/fuzzplatform.cpp
@@ -1,4 +1,9 @@
+#include "distribution/changeboard.h"
 #include "distribution/relaycodec.h"
+#include "distribution/relayserver.h"
+#include "global/manualclock.h"
+#include "net/types/httpanswer.h"
+#include "net/types/httprequest.h"
 #include "net/types/httpresult.h"
 #include "platform/configurationdecoder.h"
 #include "platform/echopacketcodec.h"
@@ -50,6 +55,23 @@
     platform::leaseOf(result, 0);
     distribution::parseRelayText(text);
 }
+
+//! Neighbours may ask anything; every question gets one answer or waits.
+void fuzzQuestion(const std::string &text)
+{
+    ManualClock clock;
+    distribution::ChangeBoard board;
+    distribution::RelayServer server(board, clock);
+    for (const char *path : {"/changes", "/listing", "/contact"}) {
+        int answers = 0;
+        server.handle({.path = path, .query = text},
+                      [&answers](const net::HttpAnswer &) { ++answers; });
+        if (answers > 1) {
+            std::abort();
+        }
+    }
+    server.tick();
+}
 }
 
 // NOLINTNEXTLINE(readability-identifier-naming): the fuzzer looks for this name.
@@ -58,6 +80,7 @@
     const std::span<const std::uint8_t> rest(data, size);
     const std::string text(rest.begin(), rest.end());
     fuzzPacket(rest);
+    fuzzQuestion(text);
     platform::EntryDecoder().decode({.key = "servers/i-1", .value = text});
     platform::ConfigurationDecoder().decode(text);
     settings::VmSettingsReader().parse(text, "fuzz");
