--- a/src/distribution/internal/fanoutstore.cpp
+++ b/src/distribution/internal/fanoutstore.cpp
@@ -1,7 +1,7 @@
 #include "distribution/fanoutstore.h"
 
 #include "distribution/changeboard.h"
-#include "distribution/relaypaths.h"
+#include "distribution/relayprotocol.h"
 #include "distribution/types/copyage.h"
 #include "distribution/types/relayanswer.h"
 #include "global/iclock.h"
--- a/src/distribution/internal/relayclient.cpp
+++ b/src/distribution/internal/relayclient.cpp
@@ -2,7 +2,7 @@
 
 #include "distribution/relaychoice.h"
 #include "distribution/relaycodec.h"
-#include "distribution/relaypaths.h"
+#include "distribution/relayprotocol.h"
 #include "distribution/types/relayanswer.h"
 #include "global/iclock.h"
 #include "net/ihttpconnection.h"
--- a/src/distribution/internal/relaypaths.cpp
+++ b/src/distribution/internal/relayprotocol.cpp
@@ -1,4 +1,4 @@
-#include "distribution/relaypaths.h"
+#include "distribution/relayprotocol.h"
 
 #include "distribution/types/copyage.h"
 #include "net/query.h"
--- a/src/distribution/internal/relayserver.cpp
+++ b/src/distribution/internal/relayserver.cpp
@@ -2,7 +2,7 @@
 
 #include "distribution/changeboard.h"
 #include "distribution/relaycodec.h"
-#include "distribution/relaypaths.h"
+#include "distribution/relayprotocol.h"
 #include "distribution/types/copyage.h"
 #include "global/iclock.h"
 #include "net/query.h"
--- a/src/distribution/internal/seedclient.cpp
+++ b/src/distribution/internal/seedclient.cpp
@@ -1,7 +1,7 @@
 #include "distribution/seedclient.h"
 
 #include "distribution/relaycodec.h"
-#include "distribution/relaypaths.h"
+#include "distribution/relayprotocol.h"
 #include "distribution/types/copyage.h"
 #include "global/iclock.h"
 #include "net/ihttpconnection.h"
--- a/src/distribution/relayserver.h
+++ b/src/distribution/relayserver.h
@@ -17,7 +17,7 @@
 class ChangeBoard;
 
 //! Answers neighbours that follow the store through this VM, or start from what it knows (see
-//! relaypaths.h); 503 if this VM cannot tell.
+//! relayprotocol.h); 503 if this VM cannot tell.
 class RelayServer
 {
 public:
