Leave the rotation while the own data centre is evacuated

Cause: routers go on sending the clients of an evacuated data centre to its VMs, which forward everything to other data centres.

Hypothesis: a VM of an evacuated data centre that answers its probes with 503 lets routers send its clients to VMs that have upstreams beside them.

Change: ReachabilityMonitor::isEvacuated() (own data centre evacuated, and an upstream elsewhere accepts new flows) is a second condition of RotationPolicy, beside being cut off. It follows the operators' order, so a freeze does not stop it; it ends with the evacuation, or when nobody else could serve. Tests: rows for evacuated, all data centres evacuated, upstreams elsewhere draining or gone, cut off meanwhile, evacuation ended, in any order.

--- a/src/app/readiness.cpp
+++ b/src/app/readiness.cpp
@@ -53,7 +53,8 @@
     const RotationPolicy::Conditions conditions{.servesLocally = this->reachability.servesLocally(),
                                                 .isCutOff = this->director.detectsSilence()
                                                     && this->reachability.isCutOff(now),
-                                                .isStoreConnected = this->isStoreConnected};
+                                                .isStoreConnected = this->isStoreConnected,
+                                                .isEvacuated = this->reachability.isEvacuated()};
     if (!this->rotation.update(conditions, now)) {
         return;
     }
@@ -63,6 +64,7 @@
     }
     this->log.write(LogEntry(LogKind::State,
                              this->rotation.isWithdrawn() ? "rotation.left" : "rotation.returned")
+                        .text("own_data_centre", conditions.isEvacuated ? "evacuated" : "in use")
                         .text("own_upstreams", conditions.servesLocally ? "serve" : "none")
                         .text("far_upstreams", conditions.isCutOff ? "silent" : "not judged")
                         .text("store", this->isStoreConnected ? "answers" : "silent"));
--- a/src/app/readiness.h
+++ b/src/app/readiness.h
@@ -37,7 +37,8 @@
     //! Returns the response to a probe: 200 if this VM is ready for packets, else 503.
     net::HttpResponse handleProbe();
 
-    //! Returns true while this VM is withdrawn from rotation because it could reach no upstream.
+    //! Returns true while this VM is withdrawn from rotation because its data centre is evacuated
+    //! or because it could reach no upstream.
     bool isWithdrawn() const { return this->rotation.isWithdrawn(); }
 
     //! Sets whether the store responds to calls of this VM.
--- a/src/app/rotationpolicy.cpp
+++ b/src/app/rotationpolicy.cpp
@@ -22,25 +22,31 @@
 
 bool RotationPolicy::update(const Conditions &conditions, TimePoint now)
 {
-    if (!this->withdrawn) {
+    const bool wasWithdrawn = this->isWithdrawn();
+    this->evacuated = conditions.isEvacuated;
+    this->updateCutOff(conditions, now);
+    return this->isWithdrawn() != wasWithdrawn;
+}
+
+void RotationPolicy::updateCutOff(const Conditions &conditions, TimePoint now)
+{
+    if (!this->cutOff) {
         if (!conditions.isCutOff) {
-            return false;
+            return;
         }
         const bool isFirst = now - this->returnedAt >= kStableTime;
         this->returnDelay =
             isFirst ? kFirstReturnDelay : std::min(this->returnDelay * 2, kMaxReturnDelay);
-        this->withdrawn = true;
+        this->cutOff = true;
         this->wasStoreLost = false;
-        this->withdrawnAt = now;
-        return true;
+        this->cutOffAt = now;
+        return;
     }
     this->wasStoreLost = this->wasStoreLost || !conditions.isStoreConnected;
-    if (!this->canReturn(conditions, now)) {
-        return false;
+    if (this->canReturn(conditions, now)) {
+        this->cutOff = false;
+        this->returnedAt = now;
     }
-    this->withdrawn = false;
-    this->returnedAt = now;
-    return true;
 }
 
 bool RotationPolicy::canReturn(const Conditions &conditions, TimePoint now) const
@@ -49,8 +55,8 @@
         return true;
     }
     if (!conditions.isStoreConnected) {
-        return now - this->withdrawnAt >= kReturnDelayWithoutStore;
+        return now - this->cutOffAt >= kReturnDelayWithoutStore;
     }
-    return this->wasStoreLost || now - this->withdrawnAt >= this->returnDelay;
+    return this->wasStoreLost || now - this->cutOffAt >= this->returnDelay;
 }
 }
--- a/src/app/tests/rotationpolicytest.cpp
+++ b/src/app/tests/rotationpolicytest.cpp
@@ -22,6 +22,10 @@
 constexpr Conditions kIndirectResponses{
     .servesLocally = false, .isCutOff = false, .isStoreConnected = false};
 
+constexpr Conditions kEvacuated{.servesLocally = false, .isEvacuated = true};
+constexpr Conditions kEvacuatedAndDisconnected{
+    .servesLocally = false, .isCutOff = true, .isStoreConnected = false, .isEvacuated = true};
+
 struct Step
 {
     std::chrono::milliseconds at;
@@ -30,7 +34,7 @@
 };
 }
 
-Test(rotationpolicy, a_vm_is_withdrawn_while_it_can_reach_no_upstream)
+Test(rotationpolicy, a_vm_is_withdrawn_while_other_data_centres_serve_its_clients_better)
 {
     struct Row
     {
@@ -38,6 +42,20 @@
         std::vector<Step> steps;
     };
     const Row rows[] = {
+        {"evacuated: returns as soon as the evacuation ends",
+         {{0ms, kEvacuated, true}, {60s, kEvacuated, true}, {60250ms, kHealthy, false}}},
+        {"evacuated from the first moment on, then no other data centre can serve",
+         {{0ms, kEvacuated, true}, {1s, {.servesLocally = false}, false}, {2s, kEvacuated, true}}},
+        {"evacuated and cut off: stays out after the evacuation until it is connected",
+         {{0ms, kEvacuated, true},
+          {1s, kEvacuatedAndDisconnected, true},
+          {2s, kDisconnected, true},
+          {3s, kStoreLost, false}}},
+        {"evacuated and cut off: returns when both have ended",
+         {{0ms, kEvacuatedAndDisconnected, true},
+          {2s, kEvacuatedAndDisconnected, true},
+          {3s, kEvacuated, true},
+          {4s, kHealthy, false}}},
         {"calm", {{0ms, kHealthy, false}, {60s, kHealthy, false}}},
         {"only the store is lost", {{0ms, kStoreLost, false}, {60s, kStoreLost, false}}},
         {"disconnected until the store responds again",
--- a/src/flows/internal/reachabilitymonitor.cpp
+++ b/src/flows/internal/reachabilitymonitor.cpp
@@ -26,6 +26,13 @@
     return upstream.acceptsNewFlows() && !this->routes.isEvacuated(upstream.upstream.dataCentre);
 }
 
+bool ReachabilityMonitor::isEvacuated() const
+{
+    return this->routes.isEvacuated(this->dataCentre)
+        && this->registry.hasMatch(
+            [this](const upstreams::UpstreamRecord &upstream) { return this->canServe(upstream); });
+}
+
 bool ReachabilityMonitor::servesLocally() const
 {
     return this->registry.hasMatch([this](const upstreams::UpstreamRecord &upstream) {
--- a/src/flows/reachabilitymonitor.h
+++ b/src/flows/reachabilitymonitor.h
@@ -15,8 +15,9 @@
 namespace radishladder::flows {
 class FlowTable;
 
-//! Detects from the flows of this VM whether it can reach any upstream; does no I/O and reads no
-//! clock.
+//! Determines whether this VM can serve its clients or VMs of other data centres should: from the
+//! operators' evacuations, and from its flows whether it can reach any upstream. Does no I/O and
+//! reads no clock.
 //!
 //! Load pattern: a data centre is cut off from the others while its own upstreams are evacuated or
 //! gone. Its VMs are healthy but can't serve their clients, whereas VMs of other data centres
@@ -30,6 +31,10 @@
                         const upstreams::UpstreamRegistry &registry, const FlowTable &table,
                         DataCentreName dataCentre);
 
+    //! Returns true if operators have evacuated the own data centre and another one has an upstream
+    //! that accepts new flows. Operators' orders count even while automatic actions are frozen.
+    bool isEvacuated() const;
+
     //! Returns true if the own data centre has an upstream that accepts new flows and isn't a
     //! suspect.
     bool servesLocally() const;
--- a/src/flows/tests/reachabilitymonitortest.cpp
+++ b/src/flows/tests/reachabilitymonitortest.cpp
@@ -86,6 +86,57 @@
     }
 }
 
+Test(reachabilitymonitor, a_data_centre_counts_as_evacuated_while_another_one_can_serve)
+{
+    struct Row
+    {
+        const char *name;
+        void (*change)(ReachabilityFixture &);
+        bool isEvacuated;
+    };
+    const Row rows[] = {
+        {"no evacuation", [](ReachabilityFixture &) {}, false},
+        {"the own data centre is evacuated",
+         [](ReachabilityFixture &f) { f.routes.evacuate(DataCentreName("obuda"), f.now); }, true},
+        {"another data centre is evacuated",
+         [](ReachabilityFixture &f) { f.routes.evacuate(DataCentreName("kobanya"), f.now); },
+         false},
+        {"all data centres with upstreams are evacuated",
+         [](ReachabilityFixture &f) {
+             f.routes.evacuate(DataCentreName("obuda"), f.now);
+             f.routes.evacuate(DataCentreName("kobanya"), f.now);
+         },
+         false},
+        {"the upstreams of the other data centre drain or have ended",
+         [](ReachabilityFixture &f) {
+             f.routes.evacuate(DataCentreName("obuda"), f.now);
+             auto upstream = f.add(1, "kobanya");
+             upstream.draining = true;
+             f.registry.update(upstream, f.now);
+             f.registry.remove({2}, true, f.now);
+         },
+         false},
+        {"the other data centre does not respond to a VM that is cut off",
+         [](ReachabilityFixture &f) {
+             f.routes.evacuate(DataCentreName("obuda"), f.now);
+             f.retransmitFor(700ms);
+         },
+         true},
+        {"the evacuation has ended",
+         [](ReachabilityFixture &f) {
+             f.routes.evacuate(DataCentreName("obuda"), f.now);
+             f.routes.endEvacuation(DataCentreName("obuda"));
+         },
+         false},
+    };
+    for (const Row &row : rows) {
+        ReachabilityFixture f;
+        f.add(3);
+        row.change(f);
+        cr_assert_eq(f.monitor.isEvacuated(), row.isEvacuated, "%s", row.name);
+    }
+}
+
 Test(reachabilitymonitor, silence_from_before_an_outage_does_not_count_after_it)
 {
     ReachabilityFixture f;
