Compress what relays send, and let a start ask both relays

Relays have wide links, but start at the same moment, answer 503 at first and send as many bytes.

Hypothesis: a relay that sends an eighth of the bytes, and lets a request wait until it has the listing itself, serves a narrow VM before the store does.

Change: responses of relays are compressed (zlib, fastest level) for peers that say they accept it; a plain response is still understood, so old and new VMs work together. A listing that a relay lacks is awaited for up to 200 ms; after 25 ms the VM asks the store and its second relay too, and a relay that refused is asked again each 30 ms, eight times at most; the first response ends the others. Bodies are shared by equal requests of one tick. ChangeCache tells waiting peers of listings too.

VMs that start before their relays (.13 s) are what is left.

--- a/src/distribution/changecache.h
+++ b/src/distribution/changecache.h
@@ -31,8 +31,8 @@
     //! before the pause must not count as new.
     using BootTime = std::chrono::nanoseconds;
 
-    //! Sets the function that is called when there are changes, or when this VM can no longer serve
-    //! a prefix.
+    //! Sets the function that is called when there are changes or a prefix has been listed, or when
+    //! this VM can no longer serve a prefix.
     void setChangeListener(std::function<void()> listener) { this->listener = std::move(listener); }
 
     //! Records that the store responded to a call of this VM, or that the connection to the store
--- a/src/distribution/internal/changecache.cpp
+++ b/src/distribution/internal/changecache.cpp
@@ -14,14 +14,6 @@
 
 //! Longer than the interval between two listings of a prefix that is listed periodically.
 constexpr std::chrono::milliseconds kMaxPolledAge{6000};
-
-//! Sending a larger value to many peers would fill a relay's link for too long.
-constexpr std::size_t kMaxValueBytes = 128 * 1024;
-
-bool isTooLarge(const store::StoreItem &item)
-{
-    return item.value.size() > kMaxValueBytes;
-}
 }
 
 void ChangeCache::recordResponse(BootTime now)
@@ -80,6 +72,7 @@
     this->recordResponse(now);
     this->unconfirmed.erase(prefix);
     this->recordWatch(prefix, listing->revision);
+    this->notifyListener();
 }
 
 void ChangeCache::addRelayedListing(const std::string &prefix, const store::StoreListing &listing,
@@ -89,6 +82,7 @@
     this->snapshots[prefix].addPage("", listing);
     this->listedAt.erase(prefix);
     this->logs.erase(prefix);
+    this->notifyListener();
 }
 
 void ChangeCache::addRelayedChanges(const std::string &prefix, std::uint64_t after,
@@ -147,9 +141,6 @@
     if (!listing) {
         return {.outcome = RelayOutcome::Unavailable};
     }
-    if (age != SnapshotAge::Any && std::ranges::any_of(listing->items, isTooLarge)) {
-        return {.outcome = RelayOutcome::QueryStore};
-    }
     return {.outcome = RelayOutcome::Changes,
             .listing = std::move(*listing),
             .age = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->dataReadAt)};
@@ -169,9 +160,7 @@
     RelayResponse response{.outcome = RelayOutcome::NoChanges};
     response.listing.status = store::StoreStatus::Ok;
     response.listing.revision = std::max(after, log.lastRevision());
-    if (std::ranges::any_of(*items, isTooLarge)) {
-        response.outcome = RelayOutcome::QueryStore;
-    } else if (!items->empty()) {
+    if (!items->empty()) {
         response.outcome = RelayOutcome::Changes;
         response.listing.items = std::move(*items);
     }
--- a/src/distribution/internal/relayclient.cpp
+++ b/src/distribution/internal/relayclient.cpp
@@ -11,6 +11,8 @@
 #include "telemetry/ieventlog.h"
 #include "telemetry/types/logentry.h"
 
+#include <algorithm>
+
 namespace radishladder::distribution {
 namespace {
 constexpr std::chrono::milliseconds kFailedBackoff{5000};
@@ -54,6 +56,17 @@
     return std::nullopt;
 }
 
+std::optional<net::Endpoint> RelayClient::otherRelay(const net::Endpoint &relay) const
+{
+    if (this->membership == nullptr) {
+        return std::nullopt;
+    }
+    const auto relays = relaysFor(this->self, *this->membership);
+    const auto other = std::ranges::find_if(
+        relays, [&relay](const net::Endpoint &candidate) { return candidate != relay; });
+    return other == relays.end() ? std::nullopt : std::optional(*other);
+}
+
 bool RelayClient::isBackedOff(const net::Endpoint &relay) const
 {
     const auto backoff = this->backoffUntil.find(relay);
@@ -65,10 +78,11 @@
 {
     this->connectionTo(relay, prefix)
         .send(request, [this, relay, prefix, handler](const net::HttpResult &result) {
-            auto response = result.status == 200 ? parseRelayText(result.body) : std::nullopt;
+            auto response = result.status == 200 ? parseRelayBody(result.body) : std::nullopt;
             if (response) {
                 response->listing.isRelayed = true;
                 this->lastResponseAt = this->clock.now();
+                this->backoffUntil.erase(relay);
             } else {
                 this->recordFailure(relay, prefix, result);
             }
--- a/src/distribution/internal/relaycodec.cpp
+++ b/src/distribution/internal/relaycodec.cpp
@@ -1,6 +1,7 @@
 #include "distribution/relaycodec.h"
 
 #include "global/reason.h"
+#include "net/compression.h"
 #include "settings/jsonfile.h"
 
 #include <absl/strings/escaping.h>
@@ -8,6 +9,9 @@
 
 namespace radishladder::distribution {
 namespace {
+//! Bounds the memory that a response can take.
+constexpr std::size_t kMaxTextBytes = 32 * 1024 * 1024;
+
 constexpr const char *kRevision = "revision";
 constexpr const char *kQueryStore = "askStore";
 constexpr const char *kChanges = "changes";
@@ -91,4 +95,13 @@
     }
     return response;
 }
+
+std::optional<RelayResponse> parseRelayBody(const std::string &body)
+{
+    if (body.starts_with('{')) {
+        return parseRelayText(body);
+    }
+    const auto text = net::decompress(body, kMaxTextBytes);
+    return text ? parseRelayText(*text) : std::nullopt;
+}
 }
--- a/src/distribution/internal/relayedstore.cpp
+++ b/src/distribution/internal/relayedstore.cpp
@@ -6,14 +6,12 @@
 #include "distribution/types/snapshotage.h"
 #include "global/iclock.h"
 #include "net/ieventloop.h"
-#include "net/query.h"
 #include "net/types/httprequest.h"
 #include "store/types/readkind.h"
 #include "store/types/storelease.h"
 #include "store/types/storelisting.h"
 #include "store/types/storewrite.h"
 
-#include <absl/strings/str_cat.h>
 #include <algorithm>
 
 namespace radishladder::distribution {
@@ -29,19 +27,31 @@
 //! so that a failed relay delays the start of the VM only briefly.
 constexpr std::chrono::milliseconds kStoreFallbackDelay{25};
 
+//! A relay that starts together with this VM is requested again after this time, until it responds
+//! or kMaxRelayRequests are reached.
+constexpr std::chrono::milliseconds kRelayRetryDelay{30};
+constexpr std::size_t kMaxRelayRequests = 8;
+
 //! Timeout of a listing request: the longest time that a relay takes to send a listing.
 constexpr std::chrono::milliseconds kListingTimeout{250};
 }
 
-//! A pending listing; its copies in callbacks share the two flags.
+struct RelayedStore::ListingState
+{
+    //! The listing is finished or cancelled.
+    bool isDone = false;
+    bool isStoreQueried = false;
+    std::size_t relayRequests = 0;
+};
+
+//! A pending listing; its copies in callbacks share the state.
 struct RelayedStore::Listing
 {
     std::string prefix;
     std::string afterKey;
     store::ReadKind kind = store::ReadKind::Linearizable;
     ListingHandler handler;
-    std::shared_ptr<bool> isDone;
-    std::shared_ptr<bool> isStoreQueried;
+    std::shared_ptr<ListingState> state;
 };
 
 struct RelayedStore::Watch
@@ -73,8 +83,9 @@
     if (relay) {
         this->listFromRelay(*relay, listing);
         if (kind == store::ReadKind::Linearizable) {
-            this->loop.after(kStoreFallbackDelay,
-                             [this, listing]() { this->listFromStore(listing); });
+            this->loop.after(kStoreFallbackDelay, [this, relay = *relay, listing]() {
+                this->listFromFurtherSources(relay, listing);
+            });
         }
     } else {
         this->listFromStore(listing);
@@ -85,17 +96,17 @@
                                                  const std::string &afterKey, store::ReadKind kind,
                                                  ListingHandler handler)
 {
-    auto isDone = std::make_shared<bool>(false);
-    this->listingDone[prefix] = isDone;
-    return {prefix, afterKey, kind, std::move(handler), isDone, std::make_shared<bool>(false)};
+    auto state = std::make_shared<ListingState>();
+    this->listings[prefix] = state;
+    return {prefix, afterKey, kind, std::move(handler), std::move(state)};
 }
 
 void RelayedStore::listFromStore(const Listing &listing)
 {
-    if (*listing.isDone || *listing.isStoreQueried) {
+    if (listing.state->isDone || listing.state->isStoreQueried) {
         return;
     }
-    *listing.isStoreQueried = true;
+    listing.state->isStoreQueried = true;
     const auto handler = [this, listing](const store::StoreListing &page) {
         this->onPage(listing, page);
     };
@@ -111,10 +122,10 @@
 
 void RelayedStore::onPage(const Listing &listing, const store::StoreListing &page)
 {
-    if (*listing.isDone) {
+    if (listing.state->isDone) {
         return;
     }
-    *listing.isDone = true;
+    listing.state->isDone = true;
     const auto now = this->clock.timeSinceBoot();
     if (page.age) {
         this->cache.addRelayedListing(listing.prefix, page, now - *page.age);
@@ -131,24 +142,60 @@
     const net::HttpRequest request{.path = std::string(kListingPath),
                                    .query = listingQuery(listing.prefix, age),
                                    .timeout = kListingTimeout};
+    ++listing.state->relayRequests;
     this->relayClient.send(relay, listing.prefix, request,
-                           [this, listing](const std::optional<RelayResponse> &response) {
+                           [this, relay, listing](const std::optional<RelayResponse> &response) {
                                if (!response || response->outcome == RelayOutcome::QueryStore) {
-                                   this->listFromStore(listing);
-                                   return;
+                                   this->onRelayFailed(relay, listing);
+                               } else {
+                                   this->onRelayListing(listing, *response);
                                }
-                               if (*listing.isDone) {
-                                   return;
-                               }
-                               *listing.isDone = true;
-                               this->startLister.cancel(listing.prefix);
-                               this->cache.addRelayedListing(listing.prefix, response->listing,
-                                                             this->clock.timeSinceBoot()
-                                                                 - response->age);
-                               listing.handler(response->listing);
                            });
 }
 
+void RelayedStore::listFromFurtherSources(const net::Endpoint &firstRelay, const Listing &listing)
+{
+    if (listing.state->isDone) {
+        return;
+    }
+    this->listFromStore(listing);
+    const auto relay = this->relayClient.otherRelay(firstRelay);
+    if (relay) {
+        this->listFromRelay(*relay, listing);
+    }
+}
+
+void RelayedStore::onRelayFailed(const net::Endpoint &relay, const Listing &listing)
+{
+    this->listFromStore(listing);
+    if (listing.kind == store::ReadKind::Stale) {
+        return;
+    }
+    // Load pattern: all VMs of a data centre start at once. On a narrow link the compressed listing
+    // of a relay, even if it is requested later, arrives before that of the store.
+    this->loop.after(kRelayRetryDelay, [this, relay, listing]() {
+        if (!listing.state->isDone && !this->isStoreLost
+            && listing.state->relayRequests < kMaxRelayRequests) {
+            this->listFromRelay(relay, listing);
+        }
+    });
+}
+
+void RelayedStore::onRelayListing(const Listing &listing, const RelayResponse &response)
+{
+    if (listing.state->isDone) {
+        return;
+    }
+    listing.state->isDone = true;
+    this->startLister.cancel(listing.prefix);
+    if (listing.state->isStoreQueried) {
+        this->store.cancel(listing.prefix);
+    }
+    this->cache.addRelayedListing(listing.prefix, response.listing,
+                                  this->clock.timeSinceBoot() - response.age);
+    listing.handler(response.listing);
+}
+
 void RelayedStore::watch(const std::string &prefix, std::uint64_t revision,
                          std::chrono::milliseconds wait, ListingHandler handler)
 {
@@ -180,9 +227,7 @@
     this->cache.stopRelaying(watch.prefix);
     const net::HttpRequest request{
         .path = std::string(kChangesPath),
-        .query =
-            absl::StrCat("prefix=", net::percentEncoded(watch.prefix), "&after=", watch.revision,
-                         "&wait_ms=", std::min(watch.wait, kRelayWatchWait).count()),
+        .query = changesQuery(watch.prefix, watch.revision, std::min(watch.wait, kRelayWatchWait)),
         .timeout = kRelayWatchWait + kRelayTimeoutMargin};
     this->relayClient.send(
         relay, watch.prefix, request, [this, watch](const std::optional<RelayResponse> &response) {
@@ -199,9 +244,9 @@
 void RelayedStore::cancel(const std::string &prefix)
 {
     this->relayClient.cancel(prefix);
-    const auto listing = this->listingDone.find(prefix);
-    if (listing != this->listingDone.end()) {
-        *listing->second = true;
+    const auto listing = this->listings.find(prefix);
+    if (listing != this->listings.end()) {
+        listing->second->isDone = true;
     }
     this->startLister.cancel(prefix);
     this->store.cancel(prefix);
--- a/src/distribution/internal/relayprotocol.cpp
+++ b/src/distribution/internal/relayprotocol.cpp
@@ -3,6 +3,8 @@
 #include "distribution/types/snapshotage.h"
 #include "net/query.h"
 
+#include <absl/strings/str_cat.h>
+
 namespace radishladder::distribution {
 namespace {
 constexpr SnapshotAge kAges[] = {SnapshotAge::New, SnapshotAge::Polled, SnapshotAge::Any};
@@ -23,8 +25,15 @@
 
 std::string listingQuery(const std::string &prefix, SnapshotAge age)
 {
-    std::string query = "prefix=" + net::percentEncoded(prefix) + "&age=";
-    return query.append(nameOf(age));
+    return absl::StrCat("prefix=", net::percentEncoded(prefix), "&age=", std::string(nameOf(age)),
+                        "&", kEncodingField, "=", kCompressedEncoding);
+}
+
+std::string changesQuery(const std::string &prefix, std::uint64_t after,
+                         std::chrono::milliseconds wait)
+{
+    return absl::StrCat("prefix=", net::percentEncoded(prefix), "&after=", after,
+                        "&wait_ms=", wait.count(), "&", kEncodingField, "=", kCompressedEncoding);
 }
 
 std::optional<SnapshotAge> parseSnapshotAge(std::string_view name)
--- a/src/distribution/internal/relayserver.cpp
+++ b/src/distribution/internal/relayserver.cpp
@@ -5,6 +5,7 @@
 #include "distribution/relayprotocol.h"
 #include "distribution/types/snapshotage.h"
 #include "global/iclock.h"
+#include "net/compression.h"
 #include "net/query.h"
 #include "net/types/httprequest.h"
 #include "net/types/httpresponse.h"
@@ -18,9 +19,21 @@
 //! Limits memory if peers send requests repeatedly without waiting for a response.
 constexpr std::size_t kMaxPending = 1024;
 
+//! Longest wait of a request for a listing that this VM does not have yet. VMs that start together
+//! request it from their relay before the relay has received it.
+constexpr std::chrono::milliseconds kMaxListingWait{200};
+
+//! Sending larger changes to many peers would fill a relay's link for too long.
+constexpr std::size_t kMaxChangesBytes = 128 * 1024;
+
+//! Shorter texts are sent as they are.
+constexpr std::size_t kMinCompressedBytes = 512;
+
 //! Bytes of listings sent between two ticks; more would delay changes on a narrow link.
 constexpr std::size_t kListingBytesPerTick = 1024 * 1024;
 
+constexpr const char *kCompressedType = "application/zlib";
+
 std::string fieldOf(const std::map<std::string, std::string> &fields, const char *name)
 {
     const auto field = fields.find(name);
@@ -41,6 +54,7 @@
 
 void RelayServer::tick()
 {
+    this->bodies.clear();
     this->listingBudget = kListingBytesPerTick;
     this->respondToPending();
 }
@@ -67,42 +81,48 @@
         respond({.status = 400, .body = R"({"error":"GET /listing?prefix=&age=new|polled|any"})"});
         return;
     }
-    const RelayResponse response =
-        this->cache.snapshot(fieldOf(fields, "prefix"), *age, this->clock.timeSinceBoot());
-    if (response.outcome == RelayOutcome::Unavailable) {
-        respond(this->unavailableResponse());
-        return;
+    PendingRequest pending{.prefix = fieldOf(fields, "prefix"),
+                           .age = *age,
+                           .acceptsCompressed =
+                               fieldOf(fields, kEncodingField) == kCompressedEncoding,
+                           .until = this->clock.now(),
+                           .respond = respond};
+    if (*age == SnapshotAge::New && !this->cache.hasSnapshot(pending.prefix)) {
+        pending.until += kMaxListingWait;
     }
-    std::string text = relayText(response);
-    if (text.size() > this->listingBudget) {
-        respond({.body = relayText({.outcome = RelayOutcome::QueryStore})});
-        return;
-    }
-    this->listingBudget -= text.size();
-    respond({.body = std::move(text)});
+    this->respondOrWait(std::move(pending));
 }
 
 void RelayServer::handleChanges(const net::HttpRequest &request,
                                 const net::IHttpServer::Responder &respond)
 {
     const auto fields = net::queryFields(request.query);
-    PendingRequest pending{.prefix = fieldOf(fields, "prefix"), .respond = respond};
+    std::uint64_t after = 0;
     std::int64_t waitMs = 0;
-    if (!absl::SimpleAtoi(fieldOf(fields, "after"), &pending.after)
+    if (!absl::SimpleAtoi(fieldOf(fields, "after"), &after)
         || !absl::SimpleAtoi(fieldOf(fields, "wait_ms"), &waitMs) || waitMs < 0) {
         respond({.status = 400, .body = R"({"error":"GET /changes?prefix=&after=&wait_ms="})"});
         return;
     }
-    pending.until = this->clock.now() + std::min(std::chrono::milliseconds(waitMs), kMaxWait);
-    ResponseTexts texts;
-    if (this->tryRespond(pending, texts)) {
+    const auto wait = std::min(std::chrono::milliseconds(waitMs), kMaxWait);
+    this->respondOrWait(
+        {.prefix = fieldOf(fields, "prefix"),
+         .after = after,
+         .acceptsCompressed = fieldOf(fields, kEncodingField) == kCompressedEncoding,
+         .until = this->clock.now() + wait,
+         .respond = respond});
+}
+
+void RelayServer::respondOrWait(PendingRequest request)
+{
+    if (this->tryRespond(request)) {
         return;
     }
     if (this->pendingRequests.size() >= kMaxPending) {
-        respond({.status = kUnavailable, .body = "{}"});
+        request.respond({.status = kUnavailable, .body = "{}"});
         return;
     }
-    this->pendingRequests.push_back(std::move(pending));
+    this->pendingRequests.push_back(std::move(request));
 }
 
 net::HttpResponse RelayServer::unavailableResponse() const
@@ -111,31 +131,58 @@
     return {.status = isConnected ? kUnavailable : kStoreLost, .body = "{}"};
 }
 
-bool RelayServer::tryRespond(const PendingRequest &pending, ResponseTexts &texts) const
+bool RelayServer::tryRespond(const PendingRequest &pending)
 {
-    const auto now = this->clock.now();
-    const RelayResponse response =
-        this->cache.changesAfter(pending.prefix, pending.after, this->clock.timeSinceBoot());
-    if (response.outcome == RelayOutcome::Unavailable) {
-        pending.respond(this->unavailableResponse());
-        return true;
-    }
-    if (response.outcome == RelayOutcome::NoChanges && now < pending.until) {
+    const auto now = this->clock.timeSinceBoot();
+    const RelayResponse response = pending.after
+        ? this->cache.changesAfter(pending.prefix, *pending.after, now)
+        : this->cache.snapshot(pending.prefix, pending.age, now);
+    const bool isListingAwaited = !pending.after && response.outcome == RelayOutcome::Unavailable;
+    const bool canWait = this->clock.now() < pending.until;
+    if (canWait && (isListingAwaited || response.outcome == RelayOutcome::NoChanges)) {
         return false;
     }
-    std::string &text = texts[{pending.prefix, pending.after}];
-    if (text.empty()) {
-        text = relayText(response);
-    }
-    pending.respond({.body = text});
+    pending.respond(response.outcome == RelayOutcome::Unavailable
+                        ? this->unavailableResponse()
+                        : this->dataResponse(pending, response));
     return true;
 }
 
+net::HttpResponse RelayServer::dataResponse(const PendingRequest &pending,
+                                            const RelayResponse &response)
+{
+    const std::string &body = this->bodyFor(pending, response);
+    const std::size_t limit = pending.after ? kMaxChangesBytes : this->listingBudget;
+    if (body.size() > limit) {
+        return {.body = relayText({.outcome = RelayOutcome::QueryStore})};
+    }
+    if (!pending.after) {
+        this->listingBudget -= body.size();
+    }
+    if (body.starts_with('{')) {
+        return {.body = body};
+    }
+    return {.contentType = kCompressedType, .body = body};
+}
+
+const std::string &RelayServer::bodyFor(const PendingRequest &pending,
+                                        const RelayResponse &response)
+{
+    const BodyKey key{pending.prefix, pending.after, response.listing.revision,
+                      pending.acceptsCompressed};
+    const auto [body, isNew] = this->bodies.try_emplace(key);
+    if (isNew) {
+        body->second = relayText(response);
+        if (pending.acceptsCompressed && body->second.size() >= kMinCompressedBytes) {
+            body->second = net::compress(body->second).value_or(body->second);
+        }
+    }
+    return body->second;
+}
+
 void RelayServer::respondToPending()
 {
-    ResponseTexts texts;
-    std::erase_if(this->pendingRequests, [this, &texts](const PendingRequest &pending) {
-        return this->tryRespond(pending, texts);
-    });
+    std::erase_if(this->pendingRequests,
+                  [this](const PendingRequest &pending) { return this->tryRespond(pending); });
 }
 }
--- a/src/distribution/internal/seedclient.cpp
+++ b/src/distribution/internal/seedclient.cpp
@@ -74,7 +74,7 @@
     if (pending == this->pendingRequests.end() || pending->second.isDone || result.status != 200) {
         return;
     }
-    const auto response = parseRelayText(result.body);
+    const auto response = parseRelayBody(result.body);
     if (!response || response->outcome == RelayOutcome::QueryStore) {
         return;
     }
--- a/src/distribution/relayclient.h
+++ b/src/distribution/relayclient.h
@@ -52,6 +52,10 @@
     //! are being avoided after failures.
     std::optional<net::Endpoint> nextRelay() const;
 
+    //! Returns a relay other than \a relay, whether it is being avoided or not; std::nullopt if
+    //! there is none.
+    std::optional<net::Endpoint> otherRelay(const net::Endpoint &relay) const;
+
     //! Sends \a request for \a prefix to \a relay; \a handler receives std::nullopt if the
     //! request fails.
     void send(const net::Endpoint &relay, const std::string &prefix,
--- a/src/distribution/relayedstore.h
+++ b/src/distribution/relayedstore.h
@@ -79,6 +79,7 @@
 
 private:
     struct Listing;
+    struct ListingState;
     struct Watch;
 
     //! Creates the state of a listing whose result \a handler receives exactly once.
@@ -87,6 +88,9 @@
     void listFromStore(const Listing &listing);
     void onPage(const Listing &listing, const store::StoreListing &page);
     void listFromRelay(const net::Endpoint &relay, const Listing &listing);
+    void listFromFurtherSources(const net::Endpoint &firstRelay, const Listing &listing);
+    void onRelayFailed(const net::Endpoint &relay, const Listing &listing);
+    void onRelayListing(const Listing &listing, const RelayResponse &response);
     void watchAtStore(const Watch &watch);
     void watchThroughRelay(const net::Endpoint &relay, const Watch &watch);
 
@@ -98,8 +102,7 @@
     StartLister startLister;
     bool isStoreLost = false;
 
-    //! By prefix: whether the last listing is finished or cancelled. Shared with the listing's
-    //! callbacks.
-    std::map<std::string, std::shared_ptr<bool>> listingDone;
+    //! State of the last listing by prefix, shared with the callbacks of the listing.
+    std::map<std::string, std::shared_ptr<ListingState>> listings;
 };
 }
--- a/src/distribution/relayprotocol.h
+++ b/src/distribution/relayprotocol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -16,9 +17,17 @@
 //! listingQuery()).
 inline constexpr std::string_view kListingPath = "/listing";
 
+//! Query field of both requests: "deflate" if the sender accepts compressed responses.
+inline constexpr const char *kEncodingField = "encoding";
+inline constexpr const char *kCompressedEncoding = "deflate";
+
 //! Returns the query of a listing request, in which \a age is "new", "polled" or "any".
 std::string listingQuery(const std::string &prefix, SnapshotAge age);
 
+//! Returns the query of a request for the changes under \a prefix after \a after.
+std::string changesQuery(const std::string &prefix, std::uint64_t after,
+                         std::chrono::milliseconds wait);
+
 //! Parses the age of a listing request; returns std::nullopt for any other text.
 std::optional<SnapshotAge> parseSnapshotAge(std::string_view name);
 
--- a/src/distribution/relayserver.h
+++ b/src/distribution/relayserver.h
@@ -5,8 +5,9 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 namespace radishladder {
@@ -15,6 +16,8 @@
 
 namespace radishladder::distribution {
 class ChangeCache;
+enum class SnapshotAge : std::uint8_t;
+struct RelayResponse;
 
 //! Serves peers that watch the store through this VM, and VMs that start from its snapshots (see
 //! relayprotocol.h). Responds 503 to requests that it cannot serve, or 502 if the store does not
@@ -29,8 +32,8 @@
 
     void handle(const net::HttpRequest &request, const net::IHttpServer::Responder &respond);
 
-    //! Responds to watch requests whose wait has ended, and renews the byte budget of listings;
-    //! must be called several times a second.
+    //! Responds to requests whose wait has ended, and renews the byte budget of listings; must be
+    //! called several times a second.
     void tick();
 
     std::size_t pendingCount() const { return this->pendingRequests.size(); }
@@ -39,29 +42,45 @@
     struct PendingRequest
     {
         std::string prefix;
-        std::uint64_t after = 0;
+
+        //! Revision after which changes are requested; std::nullopt if the request is for a
+        //! listing.
+        std::optional<std::uint64_t> after;
+        SnapshotAge age{};
+        bool acceptsCompressed = false;
         std::chrono::steady_clock::time_point until;
         net::IHttpServer::Responder respond;
     };
 
-    //! Response texts by prefix and revision, shared by peers that send the same request.
-    using ResponseTexts = std::map<std::pair<std::string, std::uint64_t>, std::string>;
+    //! Identifies responses with equal bodies: prefix, revision after which changes are requested,
+    //! revision of the response, and whether the body is compressed.
+    using BodyKey = std::tuple<std::string, std::optional<std::uint64_t>, std::uint64_t, bool>;
 
     void handleChanges(const net::HttpRequest &request, const net::IHttpServer::Responder &respond);
     void handleListing(const net::HttpRequest &request, const net::IHttpServer::Responder &respond);
 
+    //! Responds to \a request now or later.
+    void respondOrWait(PendingRequest request);
+
     //! Returns the 502 or 503 response to a request that this VM cannot serve.
     net::HttpResponse unavailableResponse() const;
 
     //! Responds to \a pending if there is a result or its wait has ended; returns false if it has
     //! to keep waiting.
-    bool tryRespond(const PendingRequest &pending, ResponseTexts &texts) const;
+    bool tryRespond(const PendingRequest &pending);
     void respondToPending();
 
+    //! Returns the response with a listing or changes, or with QueryStore if the data is too large.
+    net::HttpResponse dataResponse(const PendingRequest &pending, const RelayResponse &response);
+    const std::string &bodyFor(const PendingRequest &pending, const RelayResponse &response);
+
     ChangeCache &cache;
     const IClock &clock;
     std::vector<PendingRequest> pendingRequests;
 
+    //! Bodies sent since the last tick; VMs that start together request the same listings.
+    std::map<BodyKey, std::string> bodies;
+
     //! Bytes of listings that may be sent until the next tick.
     std::size_t listingBudget;
 };
--- a/tools/checks/install.sh
+++ b/tools/checks/install.sh
@@ -4,7 +4,7 @@
 packages=(
     g++ cmake make ninja-build pkg-config clang-format clang-tidy clang libclang-rt-14-dev
     libabsl-dev libcriterion-dev libevent-dev libjsoncpp-dev librapidcheck-dev libxxhash-dev
-    prometheus-cpp-dev
+    prometheus-cpp-dev zlib1g-dev
 )
 missing=()
 for package in "${packages[@]}"; do
