--- a/src/app/storeview.cpp
+++ b/src/app/storeview.cpp
@@ -75,6 +75,9 @@
                    kSwitchPollInterval)
 {
     this->relayedStore.setMembership(this->leaseMembership);
+    this->relayServer.setOfferHandler([this](const distribution::SnapshotOffer &offer) {
+        return this->relayedStore.acceptOffer(offer);
+    });
 }
 
 StoreView::~StoreView() = default;
--- a/src/distribution/changecache.h
+++ b/src/distribution/changecache.h
@@ -43,6 +43,10 @@
     //! Returns true if this VM has a complete snapshot of \a prefix, of any age.
     bool hasSnapshot(const std::string &prefix) const;
 
+    //! Returns the time since this VM last received data of the store; std::nullopt if it has no
+    //! complete snapshot of any prefix.
+    std::optional<std::chrono::milliseconds> dataAge(BootTime now) const;
+
     //! Returns true if the store responded to a call of this VM recently.
     bool isConnected(BootTime now) const;
 
--- a/src/distribution/internal/changecache.cpp
+++ b/src/distribution/internal/changecache.cpp
@@ -34,7 +34,17 @@
 bool ChangeCache::hasSnapshot(const std::string &prefix) const
 {
     const auto snapshot = this->snapshots.find(prefix);
-    return snapshot != this->snapshots.end() && snapshot->second.listing().has_value();
+    return snapshot != this->snapshots.end() && snapshot->second.isWhole();
+}
+
+std::optional<std::chrono::milliseconds> ChangeCache::dataAge(BootTime now) const
+{
+    const bool hasData = std::ranges::any_of(
+        this->snapshots, [](const auto &entry) { return entry.second.isWhole(); });
+    if (!hasData) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - this->dataReadAt);
 }
 
 bool ChangeCache::isConnected(BootTime now) const
--- a/src/distribution/internal/relayedstore.cpp
+++ b/src/distribution/internal/relayedstore.cpp
@@ -32,6 +32,12 @@
 constexpr std::chrono::milliseconds kRelayRetryDelay{30};
 constexpr std::size_t kMaxRelayRequests = 8;
 
+//! A VM that reaches the store or a relay receives data more often than this. Detects an outage
+//! sooner than lease renewals do; an offer of snapshots that turns out to be needless costs one
+//! request.
+constexpr std::chrono::milliseconds kMaxDataAge{2300};
+constexpr std::chrono::milliseconds kMaxRelayedDataAge{1400};
+
 //! Timeout of a listing request: the longest time that a relay takes to send a listing.
 constexpr std::chrono::milliseconds kListingTimeout{250};
 }
@@ -66,9 +72,9 @@
                            const IClock &clock, telemetry::IEventLog &log,
                            const RelayClient::ConnectionFactory &connect, VmName self,
                            std::vector<net::Endpoint> seeds)
-    : store(store), cache(cache), loop(loop), clock(clock),
-      relayClient(clock, log, connect, std::move(self)),
-      startLister(store, clock, log, connect, std::move(seeds))
+    : store(store), cache(cache), loop(loop), clock(clock), relayClient(clock, log, connect, self),
+      startLister(store, clock, log, connect, std::move(seeds)),
+      snapshotOfferer(clock, connect, std::move(self))
 { }
 
 RelayedStore::~RelayedStore() = default;
@@ -110,11 +116,10 @@
     const auto handler = [this, listing](const store::StoreListing &page) {
         this->onPage(listing, page);
     };
-    const bool isFirstListing = listing.afterKey.empty()
-        && listing.kind == store::ReadKind::Linearizable
-        && !this->cache.hasSnapshot(listing.prefix);
+    const bool isFirstListing =
+        listing.afterKey.empty() && !this->cache.hasSnapshot(listing.prefix);
     if (isFirstListing) {
-        this->startLister.list(listing.prefix, handler);
+        this->startLister.list(listing.prefix, listing.kind, handler);
     } else {
         this->store.list(listing.prefix, listing.afterKey, listing.kind, handler);
     }
@@ -293,5 +298,13 @@
 {
     this->startLister.tick(this->isStoreLost);
     this->relayClient.tick(this->isStoreLost);
+    this->snapshotOfferer.tick(this->ageIfDisconnected());
+}
+
+std::optional<std::chrono::milliseconds> RelayedStore::ageIfDisconnected() const
+{
+    const auto age = this->cache.dataAge(this->clock.timeSinceBoot());
+    const auto maxAge = this->relayClient.hasRelay() ? kMaxRelayedDataAge : kMaxDataAge;
+    return age && *age > maxAge ? age : std::nullopt;
 }
 }
--- a/src/distribution/internal/relayprotocol.cpp
+++ b/src/distribution/internal/relayprotocol.cpp
@@ -1,8 +1,10 @@
 #include "distribution/relayprotocol.h"
 
 #include "distribution/types/snapshotage.h"
+#include "distribution/types/snapshotoffer.h"
 #include "net/query.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 namespace radishladder::distribution {
@@ -45,4 +47,21 @@
     }
     return std::nullopt;
 }
+
+std::string offerQuery(const SnapshotOffer &offer)
+{
+    return absl::StrCat("address=", net::percentEncoded(net::endpointText(offer.vm)),
+                        "&age_ms=", offer.age.count());
+}
+
+std::optional<SnapshotOffer> parseOfferQuery(const std::string &query)
+{
+    auto fields = net::queryFields(query);
+    const auto vm = net::parseEndpoint(fields["address"]);
+    std::int64_t ageMs = 0;
+    if (!vm || vm->port == 0 || !absl::SimpleAtoi(fields["age_ms"], &ageMs) || ageMs < 0) {
+        return std::nullopt;
+    }
+    return SnapshotOffer{.vm = *vm, .age = std::chrono::milliseconds(ageMs)};
+}
 }
--- a/src/distribution/internal/relayserver.cpp
+++ b/src/distribution/internal/relayserver.cpp
@@ -4,6 +4,7 @@
 #include "distribution/relaycodec.h"
 #include "distribution/relayprotocol.h"
 #include "distribution/types/snapshotage.h"
+#include "distribution/types/snapshotoffer.h"
 #include "global/iclock.h"
 #include "net/compression.h"
 #include "net/query.h"
@@ -49,7 +50,8 @@
 
 bool RelayServer::acceptsPath(const std::string &path)
 {
-    return path == kChangesPath || path == kListingPath || path == kConnectivityPath;
+    return path == kChangesPath || path == kListingPath || path == kConnectivityPath
+        || path == kOfferPath;
 }
 
 void RelayServer::tick()
@@ -65,6 +67,8 @@
     if (request.path == kConnectivityPath) {
         const bool isConnected = this->cache.isConnected(this->clock.timeSinceBoot());
         respond({.status = isConnected ? 200 : kStoreLost, .body = "{}"});
+    } else if (request.path == kOfferPath) {
+        this->handleOffer(request, respond);
     } else if (request.path == kListingPath) {
         this->handleListing(request, respond);
     } else {
@@ -72,6 +76,18 @@
     }
 }
 
+void RelayServer::handleOffer(const net::HttpRequest &request,
+                              const net::IHttpServer::Responder &respond)
+{
+    const auto offer = parseOfferQuery(request.query);
+    if (!offer) {
+        respond({.status = 400, .body = R"({"error":"GET /offer?address=&age_ms="})"});
+        return;
+    }
+    const bool isNeeded = this->offerHandler && this->offerHandler(*offer);
+    respond({.status = isNeeded ? 200 : kNotNeeded, .body = "{}"});
+}
+
 void RelayServer::handleListing(const net::HttpRequest &request,
                                 const net::IHttpServer::Responder &respond)
 {
--- a/src/distribution/internal/startlister.cpp
+++ b/src/distribution/internal/startlister.cpp
@@ -1,6 +1,7 @@
 #include "distribution/startlister.h"
 
 #include "distribution/types/relayresponse.h"
+#include "distribution/types/snapshotoffer.h"
 #include "global/iclock.h"
 #include "store/types/readkind.h"
 #include "telemetry/ieventlog.h"
@@ -22,15 +23,15 @@
     : store(store), clock(clock), log(log), seedClient(clock, std::move(connect), std::move(seeds))
 { }
 
-void StartLister::list(const std::string &prefix, store::IStore::ListingHandler handler)
+void StartLister::list(const std::string &prefix, store::ReadKind kind,
+                       store::IStore::ListingHandler handler)
 {
     const std::uint64_t id = ++this->lastId;
     this->pendingListings[prefix] = {
         .id = id, .handler = std::move(handler), .startedAt = this->clock.now()};
-    this->store.list(prefix, "", store::ReadKind::Linearizable,
-                     [this, prefix, id](const store::StoreListing &page) {
-                         this->onStorePage(prefix, id, page);
-                     });
+    this->store.list(prefix, "", kind, [this, prefix, id](const store::StoreListing &page) {
+        this->onStorePage(prefix, id, page);
+    });
 }
 
 void StartLister::cancel(const std::string &prefix)
@@ -46,15 +47,26 @@
     if (pending == this->pendingListings.end() || pending->second.id != id) {
         return;
     }
-    if (page.status != store::StoreStatus::Ok && this->seedClient.hasSeeds()) {
+    if (page.status != store::StoreStatus::Ok
+        && (this->isStoreLost || this->seedClient.hasSources())) {
         pending->second.failure = page;
     } else {
         this->finish(prefix, page);
     }
 }
 
-void StartLister::tick(bool isStoreLost)
+bool StartLister::acceptOffer(const SnapshotOffer &offer)
 {
+    if (this->pendingListings.empty()) {
+        return false;
+    }
+    this->seedClient.addOffer(offer);
+    return true;
+}
+
+void StartLister::tick(bool isStoreLostNow)
+{
+    this->isStoreLost = isStoreLostNow;
     this->seedClient.tick();
     std::vector<std::string> timedOut;
     for (auto &[prefix, pending] : this->pendingListings) {
@@ -62,7 +74,7 @@
         if (!pending.isSeedRequestSent && (pending.failure || elapsed >= kSeedDelay)) {
             this->requestFromSeeds(prefix, pending);
         }
-        if (pending.failure && !isStoreLost && elapsed >= kFailureTimeout) {
+        if (pending.failure && !this->isStoreLost && elapsed >= kFailureTimeout) {
             timedOut.push_back(prefix);
         }
     }
--- a/src/distribution/prefixsnapshot.h
+++ b/src/distribution/prefixsnapshot.h
@@ -24,6 +24,9 @@
     //! Applies the response to a watch for changes after \a after.
     void applyChanges(std::uint64_t after, const store::StoreListing &changes);
 
+    //! Returns true if no items or changes are missing.
+    bool isWhole() const { return this->isComplete; }
+
     //! Returns all items, with the revision from which to watch; std::nullopt if items or changes
     //! are missing.
     std::optional<store::StoreListing> listing() const;
--- a/src/distribution/relayedstore.h
+++ b/src/distribution/relayedstore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "distribution/relayclient.h"
+#include "distribution/snapshotofferer.h"
 #include "distribution/startlister.h"
 #include "store/iconnectionlistener.h"
 #include "store/istore.h"
@@ -9,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +46,7 @@
     void setMembership(const membership::IMembership &members)
     {
         this->relayClient.setMembership(members);
+        this->snapshotOfferer.setMembership(members);
     }
 
     //! Returns true if this VM has relays, whether they respond or not.
@@ -73,8 +76,11 @@
     //! is lost or restored.
     bool hasLiveRelay() const { return this->relayClient.hasLiveRelay(); }
 
-    //! Queries seeds and relays, and closes idle connections; must be called several times a
-    //! second.
+    //! Handles the offer of another VM to send its snapshots; returns true if this VM needs them.
+    bool acceptOffer(const SnapshotOffer &offer) { return this->startLister.acceptOffer(offer); }
+
+    //! Queries seeds and relays, offers the snapshots of this VM, and closes idle connections; must
+    //! be called several times a second.
     void tick();
 
 private:
@@ -94,12 +100,17 @@
     void watchAtStore(const Watch &watch);
     void watchThroughRelay(const net::Endpoint &relay, const Watch &watch);
 
+    //! Returns the age of the data of this VM if neither the store nor a relay responds; otherwise
+    //! std::nullopt.
+    std::optional<std::chrono::milliseconds> ageIfDisconnected() const;
+
     store::IStore &store;
     ChangeCache &cache;
     net::IEventLoop &loop;
     const IClock &clock;
     RelayClient relayClient;
     StartLister startLister;
+    SnapshotOfferer snapshotOfferer;
     bool isStoreLost = false;
 
     //! State of the last listing by prefix, shared with the callbacks of the listing.
--- a/src/distribution/relayprotocol.h
+++ b/src/distribution/relayprotocol.h
@@ -8,6 +8,7 @@
 
 namespace radishladder::distribution {
 enum class SnapshotAge : std::uint8_t;
+struct SnapshotOffer;
 
 //! Path of requests that wait for changes; their query has "prefix", "after" (a revision) and
 //! "wait_ms".
@@ -35,6 +36,21 @@
 //! the store responds to that VM, otherwise kStoreLost.
 inline constexpr std::string_view kConnectivityPath = "/contact";
 
+//! Path of offers: the sender cannot reach the store and offers its snapshots to a VM that may have
+//! restarted. The query has "address" (the sender's relay address) and "age_ms" (time since the
+//! sender last received data of the store). The response has status 200 if the receiver will
+//! request the snapshots, otherwise kNotNeeded.
+inline constexpr std::string_view kOfferPath = "/offer";
+
+//! Returns the query of an offer.
+std::string offerQuery(const SnapshotOffer &offer);
+
+//! Parses the query of an offer; returns std::nullopt if it is malformed.
+std::optional<SnapshotOffer> parseOfferQuery(const std::string &query);
+
+//! HTTP status: the receiver of an offer has the snapshots already.
+inline constexpr int kNotNeeded = 409;
+
 //! HTTP status: the store does not respond to the queried VM.
 inline constexpr int kStoreLost = 502;
 
--- a/src/distribution/relayserver.h
+++ b/src/distribution/relayserver.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -18,6 +19,7 @@
 class ChangeCache;
 enum class SnapshotAge : std::uint8_t;
 struct RelayResponse;
+struct SnapshotOffer;
 
 //! Serves peers that watch the store through this VM, and VMs that start from its snapshots (see
 //! relayprotocol.h). Responds 503 to requests that it cannot serve, or 502 if the store does not
@@ -30,6 +32,13 @@
     //! Returns true if \a path belongs to the relay protocol.
     static bool acceptsPath(const std::string &path);
 
+    //! Sets the function that receives offers of other VMs and returns whether this VM will request
+    //! their snapshots; without it no offer is needed.
+    void setOfferHandler(std::function<bool(const SnapshotOffer &offer)> handler)
+    {
+        this->offerHandler = std::move(handler);
+    }
+
     void handle(const net::HttpRequest &request, const net::IHttpServer::Responder &respond);
 
     //! Responds to requests whose wait has ended, and renews the byte budget of listings; must be
@@ -57,6 +66,7 @@
     using BodyKey = std::tuple<std::string, std::optional<std::uint64_t>, std::uint64_t, bool>;
 
     void handleChanges(const net::HttpRequest &request, const net::IHttpServer::Responder &respond);
+    void handleOffer(const net::HttpRequest &request, const net::IHttpServer::Responder &respond);
     void handleListing(const net::HttpRequest &request, const net::IHttpServer::Responder &respond);
 
     //! Responds to \a request now or later.
@@ -76,6 +86,7 @@
 
     ChangeCache &cache;
     const IClock &clock;
+    std::function<bool(const SnapshotOffer &offer)> offerHandler;
     std::vector<PendingRequest> pendingRequests;
 
     //! Bodies sent since the last tick; VMs that start together request the same listings.
--- a/src/distribution/seedclient.h
+++ b/src/distribution/seedclient.h
@@ -19,9 +19,10 @@
 
 namespace radishladder::distribution {
 struct RelayResponse;
+struct SnapshotOffer;
 
-//! Requests the latest snapshot of a prefix from seeds (VMs whose addresses are configured) while
-//! the store does not respond.
+//! Requests the latest snapshot of a prefix, while the store does not respond, from seeds (VMs
+//! whose addresses are configured) and from VMs that have offered their snapshots.
 //!
 //! Load pattern: many VMs of a data centre stop and start again while the data centre is cut off or
 //! the store is unavailable. VMs that kept running serve traffic from their cached data; the
@@ -36,8 +37,12 @@
     SeedClient(const IClock &clock, ConnectionFactory connect, std::vector<net::Endpoint> seeds);
     ~SeedClient();
 
-    //! Returns false if there are no seeds.
-    bool hasSeeds() const { return !this->seeds.empty(); }
+    //! Returns false if there are neither seeds nor offers.
+    bool hasSources() const { return !this->seeds.empty() || !this->offers.empty(); }
+
+    //! Adds a VM that offers its snapshots to the VMs that are queried. Only the VMs with the
+    //! newest data are kept.
+    void addOffer(const SnapshotOffer &offer);
 
     //! Requests \a prefix until one VM sends it; \a handler is called with the first valid
     //! response.
@@ -55,16 +60,31 @@
         Handler handler;
         std::chrono::steady_clock::time_point sentAt;
         bool isDone = false;
+
+        //! VMs whose offer came after the request was sent; it is sent to them at the next tick.
+        std::vector<net::Endpoint> newVms;
         std::vector<std::unique_ptr<net::IHttpConnection>> connections;
     };
 
+    //! An offer and the time at which its VM last received data of the store.
+    struct KnownOffer
+    {
+        net::Endpoint vm;
+        std::chrono::steady_clock::time_point dataTime;
+    };
+
     void send(const std::string &prefix, PendingRequest &pending);
+    void sendToNewVms(const std::string &prefix, PendingRequest &pending);
+    void sendTo(const net::Endpoint &vm, const std::string &prefix, PendingRequest &pending);
     void onResult(const std::string &prefix, const net::Endpoint &vm,
                   const net::HttpResult &result);
 
     const IClock &clock;
     ConnectionFactory connect;
     std::vector<net::Endpoint> seeds;
+
+    //! Offers of other VMs, newest data first.
+    std::vector<KnownOffer> offers;
     std::map<std::string, PendingRequest> pendingRequests;
 };
 }
--- a/src/distribution/startlister.h
+++ b/src/distribution/startlister.h
@@ -14,10 +14,14 @@
 class IEventLog;
 }
 
+namespace radishladder::store {
+enum class ReadKind : std::uint8_t;
+}
+
 namespace radishladder::distribution {
 
-//! Lists a prefix that a VM needs for its start: from the store, or from seed VMs if the store
-//! responds late or fails.
+//! Lists a prefix that a VM needs for its start: from the store, or from seed VMs and from VMs that
+//! have offered their snapshots if the store responds late or fails.
 class StartLister
 {
 public:
@@ -25,14 +29,19 @@
                 SeedClient::ConnectionFactory connect, std::vector<net::Endpoint> seeds);
 
     //! Lists the first page of \a prefix. A listing from a seed is complete and has an age.
-    void list(const std::string &prefix, store::IStore::ListingHandler handler);
+    void list(const std::string &prefix, store::ReadKind kind,
+              store::IStore::ListingHandler handler);
+
+    //! Handles the offer of a VM to send its snapshots; returns true if this VM needs them because
+    //! the store does not respond.
+    bool acceptOffer(const SnapshotOffer &offer);
 
     //! Cancels the listing of \a prefix.
     void cancel(const std::string &prefix);
 
     //! Must be called several times a second. While the store is lost, a failed listing stays
     //! pending until a seed responds, because the caller does not retry during an outage.
-    void tick(bool isStoreLost);
+    void tick(bool isStoreLostNow);
 
 private:
     struct PendingListing
@@ -57,6 +66,7 @@
     const IClock &clock;
     telemetry::IEventLog &log;
     SeedClient seedClient;
+    bool isStoreLost = false;
     std::uint64_t lastId = 0;
     std::map<std::string, PendingListing> pendingListings;
 };
--- a/src/distribution/tests/testdatacentre.h
+++ b/src/distribution/tests/testdatacentre.h
@@ -40,6 +40,10 @@
                                                         {.watchWait = std::chrono::seconds(7)})
         {
             this->relayedStore.setMembership(dataCentre);
+            this->server.setOfferHandler([this, &dataCentre](const SnapshotOffer &offer) {
+                ++dataCentre.offers;
+                return this->relayedStore.acceptOffer(offer);
+            });
         }
 
         void onSnapshot(const std::vector<store::StoreItem> &items) override
@@ -87,8 +91,10 @@
                 vm->relayedStore.renewLease(1, [](const store::StoreLease &) {});
             });
             this->loop.every(std::chrono::milliseconds(250), [&vm]() {
-                vm->server.tick();
-                vm->relayedStore.tick();
+                if (!vm->isPaused) {
+                    vm->server.tick();
+                    vm->relayedStore.tick();
+                }
             });
         }
         this->store.grantLease(std::chrono::hours(1), [](const store::StoreLease &) {});
@@ -122,6 +128,9 @@
     //! Number of seed VMs, whose addresses are configured at all other VMs.
     std::uint16_t seedCount = 0;
 
+    //! Number of snapshot offers that the VMs have received.
+    std::uint64_t offers = 0;
+
     ManualClock clock;
     net::ManualEventLoop loop{this->clock};
     standins::MemoryStore store{this->loop};
