Mend connections that end in their own handlers, and bound slow responses

Prefixes are collected first. - The timeout of an HTTP request bounds time without progress, so a peer whose link is narrowed could delay changes without end: http/a_response_that_arrives_ too_slowly_fails_after_the_longest_duration. HttpRequest::maxDuration bounds the whole response; relays' changes (2 s), listings (2 s) and offers use it. Calls to the store do not: listings on narrow links may take long, and the bound on watches is the follower's. - send() never called its handler if the request could not be made.

--- a/src/distribution/internal/relayedstore.cpp
+++ b/src/distribution/internal/relayedstore.cpp
@@ -23,6 +23,10 @@
 constexpr std::chrono::milliseconds kRelayWatchWait{1000};
 constexpr std::chrono::milliseconds kRelayTimeoutMargin{600};
 
+//! Longest time until changes have arrived completely; bounds how long a relay whose link is
+//! narrowed delays changes.
+constexpr std::chrono::milliseconds kMaxRelayWatchDuration{2000};
+
 //! If a relay takes longer to respond to a linearizable listing, the VM also lists from the store,
 //! so that a failed relay delays the start of the VM only briefly.
 constexpr std::chrono::milliseconds kStoreFallbackDelay{25};
@@ -40,6 +44,9 @@
 
 //! Timeout of a listing request: the longest time that a relay takes to send a listing.
 constexpr std::chrono::milliseconds kListingTimeout{250};
+
+//! Longest time until a listing has arrived completely. The store is queried beside the relay.
+constexpr std::chrono::milliseconds kMaxListingDuration{2000};
 }
 
 struct RelayedStore::ListingState
@@ -146,7 +153,8 @@
         listing.kind == store::ReadKind::Stale ? SnapshotAge::Polled : SnapshotAge::New;
     const net::HttpRequest request{.path = std::string(kListingPath),
                                    .query = listingQuery(listing.prefix, age),
-                                   .timeout = kListingTimeout};
+                                   .timeout = kListingTimeout,
+                                   .maxDuration = kMaxListingDuration};
     ++listing.state->relayRequests;
     this->relayClient.send(relay, listing.prefix, request,
                            [this, relay, listing](const std::optional<RelayResponse> &response) {
@@ -233,7 +241,8 @@
     const net::HttpRequest request{
         .path = std::string(kChangesPath),
         .query = changesQuery(watch.prefix, watch.revision, std::min(watch.wait, kRelayWatchWait)),
-        .timeout = kRelayWatchWait + kRelayTimeoutMargin};
+        .timeout = kRelayWatchWait + kRelayTimeoutMargin,
+        .maxDuration = kMaxRelayWatchDuration};
     this->relayClient.send(
         relay, watch.prefix, request, [this, watch](const std::optional<RelayResponse> &response) {
             if (!response || response->outcome == RelayOutcome::QueryStore) {
--- a/src/distribution/internal/snapshotofferer.cpp
+++ b/src/distribution/internal/snapshotofferer.cpp
@@ -60,7 +60,8 @@
 {
     const net::HttpRequest request{.path = std::string(kOfferPath),
                                    .query = offerQuery({.vm = own, .age = dataAge}),
-                                   .timeout = kOfferTimeout};
+                                   .timeout = kOfferTimeout,
+                                   .maxDuration = kOfferTimeout};
     PendingOffer &pending = this->pendingOffers[member];
     pending = {.connection = this->connect(address), .sentAt = this->clock.now()};
     pending.connection->send(request, [this, member](const net::HttpResult &result) {
--- a/src/distribution/internal/startlister.cpp
+++ b/src/distribution/internal/startlister.cpp
@@ -68,24 +68,36 @@
 {
     this->isStoreLost = isStoreLostNow;
     this->seedClient.tick();
+    // Requests and results may end listings, so none is sent or reported within the loop.
+    std::vector<std::string> late;
     std::vector<std::string> timedOut;
-    for (auto &[prefix, pending] : this->pendingListings) {
+    for (const auto &[prefix, pending] : this->pendingListings) {
         const auto elapsed = this->clock.now() - pending.startedAt;
         if (!pending.isSeedRequestSent && (pending.failure || elapsed >= kSeedDelay)) {
-            this->requestFromSeeds(prefix, pending);
+            late.push_back(prefix);
         }
         if (pending.failure && !this->isStoreLost && elapsed >= kFailureTimeout) {
             timedOut.push_back(prefix);
         }
     }
+    for (const std::string &prefix : late) {
+        this->requestFromSeeds(prefix);
+    }
     for (const std::string &prefix : timedOut) {
-        this->finish(prefix, store::StoreListing(*this->pendingListings[prefix].failure));
+        const auto pending = this->pendingListings.find(prefix);
+        if (pending != this->pendingListings.end() && pending->second.failure) {
+            this->finish(prefix, store::StoreListing(*pending->second.failure));
+        }
     }
 }
 
-void StartLister::requestFromSeeds(const std::string &prefix, PendingListing &pending)
+void StartLister::requestFromSeeds(const std::string &prefix)
 {
-    pending.isSeedRequestSent = true;
+    const auto pending = this->pendingListings.find(prefix);
+    if (pending == this->pendingListings.end()) {
+        return;
+    }
+    pending->second.isSeedRequestSent = true;
     this->seedClient.requestListing(
         prefix, [this, prefix](const net::Endpoint &vm, const RelayResponse &response) {
             this->onSeedResponse(prefix, vm, response);
--- a/src/distribution/startlister.h
+++ b/src/distribution/startlister.h
@@ -59,7 +59,7 @@
     void onStorePage(const std::string &prefix, std::uint64_t id, const store::StoreListing &page);
     void onSeedResponse(const std::string &prefix, const net::Endpoint &vm,
                         const RelayResponse &response);
-    void requestFromSeeds(const std::string &prefix, PendingListing &pending);
+    void requestFromSeeds(const std::string &prefix);
     void finish(const std::string &prefix, const store::StoreListing &listing);
 
     store::IStore &store;
--- a/src/distribution/tests/changecachetest.cpp
+++ b/src/distribution/tests/changecachetest.cpp
@@ -1,6 +1,7 @@
 #include "distribution/changecache.h"
 
 #include "distribution/types/relayresponse.h"
+#include "store/types/readkind.h"
 
 #include <criterion/criterion.h>
 
@@ -79,3 +80,30 @@
     cr_assert_eq(cache.changesAfter("up/", 0, kStart).outcome, RelayOutcome::Unavailable);
     cr_assert_eq(cache.changesAfter("up/", 4500, kStart).listing.items.size(), 500U);
 }
+
+Test(changecache, waiting_peers_are_notified_when_a_prefix_is_listed_or_no_longer_watched)
+{
+    struct Row
+    {
+        const char *name;
+        void (*change)(ChangeCache &);
+    };
+    const Row rows[] = {
+        {"listed from the store",
+         [](ChangeCache &cache) {
+             cache.addPage("up/", store::ReadKind::Linearizable, "", changes(13), kStart);
+         }},
+        {"listed through a relay, which serves the peers instead",
+         [](ChangeCache &cache) { cache.addRelayedListing("up/", changes(13), kStart); }},
+        {"watched through a relay", [](ChangeCache &cache) { cache.stopRelaying("up/"); }},
+        {"store lost", [](ChangeCache &cache) { cache.recordStoreLost(); }},
+    };
+    for (const Row &row : rows) {
+        ChangeCache cache;
+        cache.addChanges("up/", 10, changes(12));
+        int notifications = 0;
+        cache.setChangeListener([&notifications]() { ++notifications; });
+        row.change(cache);
+        cr_assert_eq(notifications, 1, "%s", row.name);
+    }
+}
--- a/src/distribution/tests/seedclienttest.cpp
+++ b/src/distribution/tests/seedclienttest.cpp
@@ -1,4 +1,5 @@
 #include "distribution/seedclient.h"
+#include "distribution/startlister.h"
 
 #include "distribution/relaycodec.h"
 #include "distribution/types/relayresponse.h"
@@ -6,6 +7,7 @@
 #include "net/types/httpresponse.h"
 #include "restart.h"
 #include "scriptedconnection.h"
+#include "store/types/readkind.h"
 #include "testdatacentre.h"
 
 #include <criterion/criterion.h>
@@ -166,3 +168,25 @@
         cr_assert_eq(accepted, row.isAccepted ? 1 : 0, "%s", row.name);
     }
 }
+
+Test(seedclient, seeds_that_respond_at_once_may_end_listings_while_others_are_pending)
+{
+    ManualClock clock;
+    net::ManualEventLoop loop(clock);
+    standins::MemoryStore store(loop);
+    store.setMode(standins::MemoryStore::Mode::Silent);
+    TestDataCentre log(1);
+    const std::string body = relayText({.outcome = RelayOutcome::Changes});
+    StartLister lister(
+        store, clock, log,
+        [&body](const net::Endpoint &) { return std::make_unique<ScriptedConnection>(200, body); },
+        {{1, 1}});
+    int listed = 0;
+    for (const char *prefix : {"a/", "b/", "c/", "d/"}) {
+        lister.list(prefix, store::ReadKind::Linearizable,
+                    [&listed](const store::StoreListing &) { ++listed; });
+    }
+    clock.advance(250ms);
+    lister.tick(true);
+    cr_assert_eq(listed, 4);
+}
--- a/src/framework/net/internal/libeventhttpconnection.cpp
+++ b/src/framework/net/internal/libeventhttpconnection.cpp
@@ -46,6 +46,11 @@
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs, sizeof kUserTimeoutMs);
 }
 
+timeval toTimeval(std::chrono::milliseconds duration)
+{
+    return {duration.count() / 1000, duration.count() % 1000 * 1000};
+}
+
 std::string readBody(evhttp_request *request)
 {
     evbuffer *input = evhttp_request_get_input_buffer(request);
@@ -75,6 +80,9 @@
     //! destructor frees it.
     evhttp_connection *failedConnection = nullptr;
 
+    //! Fails a request that takes longer than its maxDuration; null if there is no such limit.
+    event *timer = nullptr;
+
     void connect()
     {
         this->connection = evhttp_connection_base_new(
@@ -90,23 +98,57 @@
         }
     }
 
-    //! Cancels the pending request by closing its connection, so that its late response cannot be
+    //! Starts the timer that fails the pending request if it takes longer than \a duration.
+    void startTimer(std::chrono::milliseconds duration)
+    {
+        const timeval timeout = toTimeval(duration);
+        this->timer = evtimer_new(this->base, State::onTooLong, this);
+        evtimer_add(this->timer, &timeout);
+    }
+
+    void stopTimer()
+    {
+        if (this->timer != nullptr) {
+            event_free(this->timer);
+            this->timer = nullptr;
+        }
+    }
+
+    static void onTooLong(evutil_socket_t, short, void *context)
+    {
+        static_cast<State *>(context)->failPending("the response took too long");
+    }
+
+    //! Fails the pending request and closes its connection, so that its late response cannot be
     //! matched to the next request.
-    void cancelPending()
+    void failPending(const char *detail)
     {
+        this->stopTimer();
         const Handler cancelledHandler = std::move(this->handler);
         this->handler = [](const HttpResult &) {};
         evhttp_connection *old = this->connection;
         this->connection = nullptr;
         this->freeConnection(old);
         this->handler = nullptr;
-        cancelledHandler(
-            {.reason = {ResultCode::StoreUnreachable, "given up for another request"}});
+        cancelledHandler({.reason = {ResultCode::StoreUnreachable, detail}});
+    }
+
+    //! Reports a request that could not be sent, unless onDone() has already done so.
+    void reportUnsent()
+    {
+        if (this->handler == nullptr) {
+            return;
+        }
+        this->stopTimer();
+        const Handler unsentHandler = std::move(this->handler);
+        this->handler = nullptr;
+        unsentHandler({.reason = {ResultCode::StoreUnreachable, "the request could not be sent"}});
     }
 
     static void onDone(evhttp_request *request, void *context)
     {
         auto *state = static_cast<State *>(context);
+        state->stopTimer();
         const HttpResult result = toResult(request);
         if (result.status == 0) {
             state->failedConnection = state->connection;
@@ -128,6 +170,7 @@
 
 LibeventHttpConnection::~LibeventHttpConnection()
 {
+    this->state->stopTimer();
     this->state->handler = [](const HttpResult &) {};
     this->state->freeConnection(this->state->failedConnection);
     this->state->freeConnection(this->state->connection);
@@ -137,7 +180,7 @@
 {
     this->state->freeConnection(this->state->failedConnection);
     if (this->state->handler != nullptr) {
-        this->state->cancelPending();
+        this->state->failPending("given up for another request");
     }
     if (this->state->connection == nullptr) {
         this->state->connect();
@@ -151,13 +194,16 @@
         evbuffer_add(evhttp_request_get_output_buffer(outgoing), request.body.data(),
                      request.body.size());
     }
-    const auto timeoutMs = request.timeout.count();
-    const timeval timeout{timeoutMs / 1000, timeoutMs % 1000 * 1000};
+    const timeval timeout = toTimeval(request.timeout);
     evhttp_connection *connection = this->state->connection;
     evhttp_connection_set_timeout_tv(connection, &timeout);
+    if (request.maxDuration) {
+        this->state->startTimer(*request.maxDuration);
+    }
     const std::string target =
         request.query.empty() ? request.path : request.path + "?" + request.query;
     if (evhttp_make_request(connection, outgoing, toCommand(request.method), target.c_str()) != 0) {
+        this->state->reportUnsent();
         return;
     }
     const int descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
--- a/src/framework/net/tests/httptest.cpp
+++ b/src/framework/net/tests/httptest.cpp
@@ -6,6 +6,10 @@
 #include "net/types/httpresult.h"
 
 #include <criterion/criterion.h>
+#include <netinet/in.h>
+#include <optional>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 using namespace radishladder;
@@ -35,6 +39,48 @@
     }
 };
 
+//! Sends one response in portions of one byte, 20 ms apart.
+class SlowServer
+{
+public:
+    SlowServer(LibeventLoop &loop, const Endpoint &address)
+        : loop(loop), listener(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const int on = 1;
+        ::setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        sockaddr_in local{};
+        local.sin_family = AF_INET;
+        local.sin_addr.s_addr = htonl(address.address);
+        local.sin_port = htons(address.port);
+        cr_assert_eq(::bind(this->listener, reinterpret_cast<sockaddr *>(&local), sizeof local), 0);
+        ::listen(this->listener, 1);
+        loop.watchReadable(this->listener, [this]() { this->accept(); });
+    }
+
+    ~SlowServer()
+    {
+        this->loop.unwatch(this->listener);
+        ::close(this->listener);
+        ::close(this->connection);
+    }
+
+private:
+    void accept()
+    {
+        this->connection = ::accept(this->listener, nullptr, nullptr);
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n";
+        ::send(this->connection, head.data(), head.size(), MSG_NOSIGNAL);
+        for (int i = 1; i <= 20; ++i) {
+            this->loop.after(i * 20ms,
+                             [this]() { ::send(this->connection, "x", 1, MSG_NOSIGNAL); });
+        }
+    }
+
+    LibeventLoop &loop;
+    int listener;
+    int connection = -1;
+};
+
 void respondWithEcho(const HttpRequest &request, const IHttpServer::Responder &respond)
 {
     if (request.path == "/missing") {
@@ -143,3 +189,46 @@
     f.send({.path = "/c"});
     cr_assert(f.results[2].body == "own");
 }
+
+Test(http, a_request_that_cannot_be_sent_fails)
+{
+    // The kernel refuses to connect to the broadcast address.
+    LibeventLoop loop;
+    LibeventHttpConnection connection(loop, {0xffffffff, 80});
+    std::vector<HttpResult> results;
+    for (std::size_t i = 1; i <= 2; ++i) {
+        connection.send({.path = "/a", .timeout = 200ms}, [&](const HttpResult &result) {
+            results.push_back(result);
+            loop.stop();
+        });
+        loop.after(500ms, [&loop]() { loop.stop(); });
+        loop.run();
+        cr_assert_eq(results.size(), i);
+        cr_assert_eq(results.back().status, 0);
+        cr_assert_eq(results.back().reason.code, ResultCode::StoreUnreachable);
+    }
+}
+
+Test(http, a_response_that_arrives_too_slowly_fails_after_the_longest_duration)
+{
+    // A peer whose link is narrowed sends a few bytes at a time.
+    struct Row
+    {
+        const char *name;
+        std::optional<std::chrono::milliseconds> maxDuration;
+        int status;
+    };
+    const Row rows[] = {
+        {"without a limit", std::nullopt, 200},
+        {"within the limit", 2s, 200},
+        {"longer than the limit", 200ms, 0},
+    };
+    std::uint16_t port = 21885;
+    for (const Row &row : rows) {
+        Fixture f(port++);
+        SlowServer server(f.loop, f.address);
+        f.send({.path = "/a", .timeout = 1s, .maxDuration = row.maxDuration});
+        cr_assert_eq(f.results.size(), 1U, "%s", row.name);
+        cr_assert_eq(f.results[0].status, row.status, "%s", row.name);
+    }
+}
--- a/src/framework/net/types/httprequest.h
+++ b/src/framework/net/types/httprequest.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace radishladder::net {
@@ -29,5 +30,9 @@
     //! The request fails if its connection makes no progress for this long, for example while the
     //! client waits for the response; the server does not use this field.
     std::chrono::milliseconds timeout{2000};
+
+    //! The request fails if its response isn't complete after this time; std::nullopt for no such
+    //! limit. The server does not use this field.
+    std::optional<std::chrono::milliseconds> maxDuration;
 };
 }
