--- a/src/app/rotationpolicy.cpp
+++ b/src/app/rotationpolicy.cpp
@@ -34,7 +34,7 @@
         if (!conditions.isCutOff) {
             return;
         }
-        const bool isFirst = now - this->returnedAt >= kStableTime;
+        const bool isFirst = !this->returnedAt || now - *this->returnedAt >= kStableTime;
         this->returnDelay =
             isFirst ? kFirstReturnDelay : std::min(this->returnDelay * 2, kMaxReturnDelay);
         this->cutOff = true;
--- a/src/app/rotationpolicy.h
+++ b/src/app/rotationpolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 
 namespace radishladder::app {
 
@@ -53,7 +54,7 @@
     //! True if the store was lost at any time since this VM was cut off.
     bool wasStoreLost = false;
     TimePoint cutOffAt;
-    TimePoint returnedAt;
+    std::optional<TimePoint> returnedAt;
     std::chrono::milliseconds returnDelay{0};
 };
 }
--- a/src/app/tests/rotationpolicytest.cpp
+++ b/src/app/tests/rotationpolicytest.cpp
@@ -94,3 +94,13 @@
         }
     }
 }
+
+Test(rotationpolicy, a_withdrawal_soon_after_boot_lasts_as_long_as_any_other)
+{
+    // The monotonic clock may start at zero when the VM boots.
+    RotationPolicy policy;
+    const RotationPolicy::TimePoint boot{};
+    cr_assert(policy.update(kSilentUpstreams, boot + 1s));
+    cr_assert_not(policy.update(kSilentUpstreams, boot + 4900ms));
+    cr_assert(policy.update(kSilentUpstreams, boot + 5s));
+}
--- a/src/flows/internal/openingdirector.cpp
+++ b/src/flows/internal/openingdirector.cpp
@@ -79,7 +79,9 @@
     }
     const upstreams::UpstreamRecord *upstream = this->registry.find(record.upstream);
     if (upstream != nullptr && this->canKeepUpstream(*upstream, record, now)) {
-        this->pacer.recordOpened(record.upstream, now);
+        if (upstream->isCold(now)) {
+            this->pacer.recordOpened(record.upstream, now);
+        }
         return forwardTo(*upstream);
     }
     return this->place(packet, route, &record, now);
@@ -91,6 +93,11 @@
     if (!upstream.acceptsNewFlows() || this->routes.isEvacuated(upstream.upstream.dataCentre)) {
         return false;
     }
+    const bool isWithinLimit = !upstream.isCold(now)
+        || this->pacer.canOpen(record.upstream, this->warmupLimit(upstream), now);
+    if (!isWithinLimit) {
+        return false;
+    }
     // Retransmissions that were queued together, for example while this VM was paused, don't show
     // that the upstream is silent. If they went to two upstreams, both would respond.
     if (now - record.waitingSince < kMinSilence) {
--- a/src/flows/tests/flowdirectortest.cpp
+++ b/src/flows/tests/flowdirectortest.cpp
@@ -126,10 +126,14 @@
 {
     DirectorFixture f;
     f.add(1);
-    cr_assert_eq(f.decide(f.data(1, 77, 101)).reason, ResultCode::FlowTokenUnknown);
+    const FlowDecision unknown = f.decide(f.data(1, 77, 101));
+    cr_assert_eq(unknown.action, FlowAction::Drop);
+    cr_assert_eq(unknown.reason, ResultCode::FlowTokenUnknown);
     FlowPacket withoutToken = f.data(1, 1, 101);
     withoutToken.token = 0;
-    cr_assert_eq(f.decide(withoutToken).reason, ResultCode::FlowTokenUnknown);
+    const FlowDecision missing = f.decide(withoutToken);
+    cr_assert_eq(missing.action, FlowAction::Drop);
+    cr_assert_eq(missing.reason, ResultCode::FlowTokenUnknown);
 }
 
 Test(flowdirector, a_silent_flow_on_an_unlisted_upstream_is_reset_only_after_store_confirmation)
--- a/src/flows/tests/openingtest.cpp
+++ b/src/flows/tests/openingtest.cpp
@@ -262,3 +262,35 @@
         }
     }
 }
+
+Test(flowdirector,
+     retransmissions_of_syns_respect_the_warmup_limit_and_count_only_for_cold_upstreams)
+{
+    // Half of the bound over all VMs: (10 * 1.5 + 5) / 2.
+    constexpr std::uint16_t kLimit = 10;
+    struct Row
+    {
+        const char *name;
+        std::chrono::milliseconds warmupLeft;
+        std::uint16_t flows;
+        FlowAction action;
+    };
+    const Row rows[] = {
+        {"cold, below the limit", 5s, kLimit - 1, FlowAction::Forward},
+        {"cold, limit reached", 5s, kLimit, FlowAction::Drop},
+        {"warm", 0s, kLimit, FlowAction::Forward},
+    };
+    for (const Row &row : rows) {
+        DirectorFixture f;
+        auto upstream = f.add(1);
+        upstream.warmupLeft = row.warmupLeft;
+        f.registry.update(upstream, f.now);
+        for (std::uint16_t port = 1; port <= row.flows; ++port) {
+            cr_assert_eq(f.decide(f.syn(port)).action, FlowAction::Forward, "%s", row.name);
+        }
+        f.now += 50ms;
+        cr_assert_eq(f.decide(f.syn(1, 1)).action, row.action, "%s", row.name);
+        const bool isWarm = row.warmupLeft == 0s;
+        cr_assert_eq(f.pacer.canOpen({1}, 1, f.now), isWarm, "%s", row.name);
+    }
+}
--- a/src/framework/supervision/internal/supervisor.cpp
+++ b/src/framework/supervision/internal/supervisor.cpp
@@ -94,9 +94,12 @@
 {
     const auto now = this->clock.now();
     child.failures.push_back(now);
-    while (child.failures.front() + child.policy.failureWindow < now) {
+    while (child.failures.front() + child.policy.failureWindow <= now) {
         child.failures.pop_front();
     }
+    if (child.failures.size() == 1) {
+        child.delay = child.policy.initialDelay;
+    }
     const bool isExhausted = static_cast<int>(child.failures.size()) > child.policy.maxRestarts;
     child.restartAt = now + child.delay;
     child.delay = std::min(child.delay * 2, child.policy.maxDelay);
--- a/src/framework/supervision/tests/supervisortest.cpp
+++ b/src/framework/supervision/tests/supervisortest.cpp
@@ -93,3 +93,24 @@
     cr_assert_eq(f.component.stops, 1);
     cr_assert_eq(f.supervisor.lastReason().code, ResultCode::SocketFailed);
 }
+
+Test(supervisor, the_restart_delay_starts_again_after_a_long_time_without_failures)
+{
+    Fixture f;
+    const RestartPolicy policy{.initialDelay = std::chrono::milliseconds(100)};
+    f.supervisor.add(f.component, policy);
+    cr_assert(f.supervisor.start());
+    for (int i = 0; i < 4; ++i) {
+        f.component.healthy = false;
+        f.supervisor.supervise();
+        f.clock.advance(policy.maxDelay);
+        f.supervisor.supervise();
+    }
+    f.clock.advance(policy.failureWindow);
+    f.component.healthy = false;
+    f.supervisor.supervise();
+    const int starts = f.component.starts;
+    f.clock.advance(policy.initialDelay);
+    f.supervisor.supervise();
+    cr_assert_eq(f.component.starts, starts + 1);
+}
--- a/src/framework/supervision/types/restartpolicy.h
+++ b/src/framework/supervision/types/restartpolicy.h
@@ -8,7 +8,7 @@
 struct RestartPolicy
 {
     //! Delay before the first restart; doubles with each further failure up to maxDelay.
-    //! Supervisor::start() resets the delay.
+    //! Supervisor::start() and a failureWindow without failures reset the delay.
     std::chrono::milliseconds initialDelay{100};
     std::chrono::milliseconds maxDelay{10000};
 
--- a/src/store/internal/prefixpoller.cpp
+++ b/src/store/internal/prefixpoller.cpp
@@ -37,10 +37,17 @@
 void PrefixPoller::onPage(const StoreListing &page)
 {
     if (page.status != StoreStatus::Ok) {
-        this->listener.onConnectionLost(page.detail);
+        if (this->isConnected) {
+            this->isConnected = false;
+            this->listener.onConnectionLost(page.detail);
+        }
         this->finishListing();
         return;
     }
+    if (!this->isConnected) {
+        this->isConnected = true;
+        this->listener.onConnectionRestored();
+    }
     this->listedItems.insert(this->listedItems.end(), page.items.begin(), page.items.end());
     if (page.hasMore && !page.items.empty()) {
         this->listFrom(page.items.back().key);
--- a/src/store/prefixpoller.h
+++ b/src/store/prefixpoller.h
@@ -18,8 +18,8 @@
 struct StoreListing;
 
 //! Lists a prefix periodically by stale reads, for data that may be some seconds out of date. The
-//! listener receives a snapshot after each listing and onConnectionLost() after each failure; its
-//! other functions are not called.
+//! listener receives a snapshot after each listing, onConnectionLost() after the first of several
+//! failures and onConnectionRestored() after the next success.
 class PrefixPoller
 {
 public:
@@ -43,6 +43,7 @@
     std::string prefix;
     std::chrono::milliseconds period;
     std::vector<StoreItem> listedItems;
+    bool isConnected = true;
     std::function<void()> onFirstResult;
 
     //! Expires with this object, so that late responses and timers are ignored.
--- a/src/store/tests/prefixpollertest.cpp
+++ b/src/store/tests/prefixpollertest.cpp
@@ -18,10 +18,11 @@
     void onSnapshot(const std::vector<StoreItem> &items) override { this->items = items.size(); }
     void onChanges(const std::vector<StoreItem> &) override { }
     void onConnectionLost(const std::string &) override { ++this->lost; }
-    void onConnectionRestored() override { }
+    void onConnectionRestored() override { ++this->restored; }
 
     std::size_t items = 0;
     int lost = 0;
+    int restored = 0;
 };
 }
 
@@ -43,8 +44,10 @@
     store.remove("vms/3");
     loop.advance(5s);
     cr_assert_eq(listener.items, 10U);
-    cr_assert_gt(listener.lost, 0);
+    cr_assert_eq(listener.lost, 1);
+    cr_assert_eq(listener.restored, 0);
     store.setMode(MemoryStore::Mode::Serving);
     loop.advance(2500ms);
     cr_assert_eq(listener.items, 9U);
+    cr_assert_eq(listener.restored, 1);
 }
--- a/src/switches/freezeswitch.h
+++ b/src/switches/freezeswitch.h
@@ -3,7 +3,9 @@
 #include "global/name.h"
 #include "store/iprefixlistener.h"
 
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace radishladder::telemetry {
@@ -36,13 +38,18 @@
     void onConnectionRestored() override;
 
 private:
-    //! Returns the state of the switch \a item: std::nullopt if it doesn't apply to this VM, the
-    //! current state if its value is invalid.
-    std::optional<bool> readState(const store::StoreItem &item);
+    //! Updates the state of the switch \a item, if it applies to this VM and its value is valid.
+    void readSwitch(const store::StoreItem &item);
+    void updateState();
 
     DataCentreName dataCentre;
     telemetry::IEventLog &log;
     bool frozen = false;
-    std::string lastRejectedValue;
+
+    //! Keys of the switches that are on and apply to this VM.
+    std::set<std::string> keysOn;
+
+    //! Last invalid value by key; each is logged once instead of with each poll.
+    std::map<std::string, std::string> rejectedValues;
 };
 }
--- a/src/switches/internal/freezeswitch.cpp
+++ b/src/switches/internal/freezeswitch.cpp
@@ -31,38 +31,53 @@
 
 void FreezeSwitch::onSnapshot(const std::vector<store::StoreItem> &items)
 {
-    bool isOn = false;
+    std::set<std::string> listed;
     for (const store::StoreItem &item : items) {
-        const std::optional<bool> state = this->readState(item);
-        isOn = isOn || state.value_or(false);
+        listed.insert(item.key);
+        this->readSwitch(item);
     }
-    if (isOn != this->frozen) {
-        this->frozen = isOn;
-        this->log.write(LogEntry(LogKind::State, isOn ? "freeze.on" : "freeze.off"));
+    std::erase_if(this->keysOn,
+                  [&listed](const std::string &key) { return !listed.contains(key); });
+    this->updateState();
+}
+
+void FreezeSwitch::onChanges(const std::vector<store::StoreItem> &items)
+{
+    for (const store::StoreItem &item : items) {
+        this->readSwitch(item);
     }
+    this->updateState();
 }
 
-std::optional<bool> FreezeSwitch::readState(const store::StoreItem &item)
+void FreezeSwitch::readSwitch(const store::StoreItem &item)
 {
     if (item.key != key(std::nullopt) && item.key != key(this->dataCentre)) {
-        return std::nullopt;
+        return;
+    }
+    if (item.isRemoval || item.value == value(false)) {
+        this->keysOn.erase(item.key);
+        return;
     }
-    if (item.value == value(true) || item.value == value(false)) {
-        return item.value == value(true);
+    if (item.value == value(true)) {
+        this->keysOn.insert(item.key);
+        return;
     }
-    // An invalid value doesn't change the state, and is logged once instead of with each poll.
-    if (this->lastRejectedValue != item.value) {
-        this->lastRejectedValue = item.value;
+    std::string &rejected = this->rejectedValues[item.key];
+    if (rejected != item.value) {
+        rejected = item.value;
         this->log.write(LogEntry(LogKind::State, "freeze.rejected")
                             .text("key", item.key)
                             .text("detail", "the value is neither on nor off"));
     }
-    return this->frozen;
 }
 
-void FreezeSwitch::onChanges(const std::vector<store::StoreItem> &items)
+void FreezeSwitch::updateState()
 {
-    this->onSnapshot(items);
+    const bool isOn = !this->keysOn.empty();
+    if (isOn != this->frozen) {
+        this->frozen = isOn;
+        this->log.write(LogEntry(LogKind::State, isOn ? "freeze.on" : "freeze.off"));
+    }
 }
 
 void FreezeSwitch::onConnectionLost(const std::string &) { }
--- a/src/switches/tests/freezeswitchtest.cpp
+++ b/src/switches/tests/freezeswitchtest.cpp
@@ -3,6 +3,7 @@
 #include "net/manualeventloop.h"
 #include "standins/memorystore.h"
 #include "store/prefixpoller.h"
+#include "store/types/storeitem.h"
 #include "telemetry/ieventlog.h"
 #include "telemetry/types/logentry.h"
 
@@ -77,3 +78,40 @@
     f.loop.advance(6s);
     cr_assert_not(f.freeze.isFrozen());
 }
+
+Test(freezeswitch, a_change_of_one_switch_leaves_the_others_as_they_are)
+{
+    struct Row
+    {
+        const char *name;
+        store::StoreItem change;
+        bool isFrozen;
+    };
+    const std::string fleet = FreezeSwitch::key(std::nullopt);
+    const std::string own = FreezeSwitch::key(DataCentreName("obuda"));
+    const std::string other = FreezeSwitch::key(DataCentreName("kobanya"));
+    const Row rows[] = {
+        {"another data centre thaws", {.key = other, .value = "off"}, true},
+        {"the own data centre thaws, the fleet stays frozen", {.key = own, .value = "off"}, true},
+        {"the fleet thaws", {.key = fleet, .value = "off"}, false},
+        {"the switch of the fleet is removed", {.key = fleet, .isRemoval = true}, false},
+        {"an invalid value", {.key = fleet, .value = "maybe"}, true},
+    };
+    for (const Row &row : rows) {
+        Fixture f;
+        f.freeze.onSnapshot({{.key = fleet, .value = "on"}});
+        f.freeze.onChanges({row.change});
+        cr_assert_eq(f.freeze.isFrozen(), row.isFrozen, "%s", row.name);
+    }
+}
+
+Test(freezeswitch, invalid_values_of_two_switches_are_logged_once_each)
+{
+    Fixture f;
+    for (int i = 0; i < 3; ++i) {
+        f.freeze.onSnapshot(
+            {{.key = FreezeSwitch::key(std::nullopt), .value = "maybe"},
+             {.key = FreezeSwitch::key(DataCentreName("obuda")), .value = "perhaps"}});
+    }
+    cr_assert_eq(f.log.lines, 2);
+}
--- a/src/upstreams/internal/upstreamregistry.cpp
+++ b/src/upstreams/internal/upstreamregistry.cpp
@@ -108,7 +108,11 @@
 {
     const auto found = this->records.find(id);
     UpstreamRecord &record = *found->second;
-    std::erase(this->services[record.upstream.service], &record);
+    const auto service = this->services.find(record.upstream.service);
+    std::erase(service->second, &record);
+    if (service->second.empty()) {
+        this->services.erase(service);
+    }
     this->releaseToken(record);
     this->doubtfulCount -= record.presence == Presence::Doubtful ? 1 : 0;
     this->records.erase(found);
--- a/src/upstreams/internal/upstreamupdater.cpp
+++ b/src/upstreams/internal/upstreamupdater.cpp
@@ -24,7 +24,7 @@
 //! Fewer removals than this are never a mass removal.
 constexpr std::size_t kMassRemovalMinimum = 4;
 
-//! A mass removal affects at least one in this many live upstreams.
+//! A mass removal affects at least one in this many of the upstreams that were live before it.
 constexpr std::size_t kMassRemovalDivisor = 2;
 
 void logUpstream(telemetry::IEventLog &log, std::string_view event, const Upstream &upstream)
@@ -101,11 +101,11 @@
     if (now - this->removalWindowStart > kMassRemovalWindow) {
         this->removalWindowStart = now;
         this->removalCount = 0;
+        this->liveAtWindowStart = this->registry.liveIds().size();
     }
     this->removalCount += count;
-    const std::size_t live = this->registry.liveIds().size();
     if (this->removalCount >= kMassRemovalMinimum
-        && this->removalCount * kMassRemovalDivisor >= live) {
+        && this->removalCount * kMassRemovalDivisor >= this->liveAtWindowStart) {
         this->unstableAt = now;
     }
 }
--- a/src/upstreams/tests/upstreamupdatertest.cpp
+++ b/src/upstreams/tests/upstreamupdatertest.cpp
@@ -108,3 +108,15 @@
     f.updater.onUpToDate();
     cr_assert(f.registry.confirmedAt() == f.clock.now());
 }
+
+Test(upstreamupdater, a_mass_removal_is_measured_against_the_upstreams_before_it)
+{
+    // Of ten upstreams, each of the first four that end one by one is less than half.
+    Fixture f;
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        f.updater.onUpstreamRemoved({id});
+        cr_assert_eq(f.presence(id), Presence::Gone, "upstream %lu", id);
+    }
+    f.updater.onUpstreamRemoved({5});
+    cr_assert_eq(f.presence(5), Presence::Doubtful);
+}
--- a/src/upstreams/upstreamupdater.h
+++ b/src/upstreams/upstreamupdater.h
@@ -53,5 +53,8 @@
 
     std::chrono::steady_clock::time_point removalWindowStart;
     std::size_t removalCount = 0;
+
+    //! Live upstreams at removalWindowStart.
+    std::size_t liveAtWindowStart = 0;
 };
 }
