Count every packet once, and report settings that need a restart

No mend, and why: a datagram over 2,048 bytes is cut by the socket and then rejected by the codec, whose largest packet is 1,240 bytes and must have its exact length (echopacketcodec/arbitrary_bytes_...); a full send buffer drops the rest of a batch and counts each datagram, which is what a router does; MemoryStore::compact leaves watches alone while the stand-in is silent, since a silent store sends nothing. Open: ConfigurationFiles names the wrong file for names with a blank.

--- a/src/app/packetpath.cpp
+++ b/src/app/packetpath.cpp
@@ -87,7 +87,10 @@
 
 void PacketPath::bufferPacket(std::span<const std::uint8_t> datagram)
 {
-    this->packetBuffer.add(datagram, this->batchTime);
+    if (!this->packetBuffer.add(datagram, this->batchTime)) {
+        this->counters->count(
+            {.action = flows::FlowAction::Drop, .reason = ResultCode::FlowNotReady});
+    }
     if (!this->isProcessingScheduled) {
         this->isProcessingScheduled = true;
         this->loop.after(kBufferCheckInterval, [this]() { this->processBufferedPackets(); });
@@ -120,10 +123,12 @@
     }
     packet->mayHaveBeenQueued = this->stallDetector.mayHaveBeenQueued();
     const flows::FlowDecision decision = this->director.decide(*packet, this->batchTime);
+    if (decision.action == flows::FlowAction::Forward && !this->forward(datagram, decision)) {
+        this->counters->countMalformed();
+        return;
+    }
     this->counters->count(decision);
-    if (decision.action == flows::FlowAction::Forward) {
-        this->forward(datagram, decision);
-    } else if (decision.action == flows::FlowAction::Reset) {
+    if (decision.action == flows::FlowAction::Reset) {
         this->reset(*packet);
     }
     const bool isRoutine = decision.action == flows::FlowAction::Forward && !decision.isPlaced;
@@ -132,18 +137,18 @@
     }
 }
 
-void PacketPath::forward(std::span<const std::uint8_t> datagram,
+bool PacketPath::forward(std::span<const std::uint8_t> datagram,
                          const flows::FlowDecision &decision)
 {
     std::array<std::uint8_t, kMaxDatagramBytes> out;
     const std::size_t size =
         this->codec.encodeForward(datagram, decision.upstream, decision.token, out);
     if (size == 0) {
-        this->counters->countMalformed();
-        return;
+        return false;
     }
     this->counters->countBytes(size);
     this->socket->send(std::span(out).first(size), decision.address);
+    return true;
 }
 
 void PacketPath::reset(const flows::FlowPacket &packet)
--- a/src/app/packetpath.h
+++ b/src/app/packetpath.h
@@ -57,7 +57,8 @@
     void handle(std::span<const std::uint8_t> datagram);
     void bufferPacket(std::span<const std::uint8_t> datagram);
     void processBufferedPackets();
-    void forward(std::span<const std::uint8_t> datagram, const flows::FlowDecision &decision);
+    //! Returns false if the packet cannot be encoded for its upstream.
+    bool forward(std::span<const std::uint8_t> datagram, const flows::FlowDecision &decision);
     void reset(const flows::FlowPacket &packet);
     void logDecision(const flows::FlowPacket &packet, const flows::FlowDecision &decision);
 
--- /dev/null
+++ b/src/app/tests/packetpathtest.cpp
@@ -0,0 +1,129 @@
+#include "app/packetpath.h"
+
+#include "flows/ipacketcodec.h"
+#include "flows/tests/directorfixture.h"
+#include "global/manualclock.h"
+#include "net/batchsocket.h"
+#include "net/libeventloop.h"
+#include "telemetry/ieventlog.h"
+#include "telemetry/prometheusmetrics.h"
+
+#include <criterion/criterion.h>
+
+using namespace radishladder;
+using namespace radishladder::app;
+using namespace std::chrono_literals;
+
+namespace {
+class NoLog : public telemetry::IEventLog
+{
+public:
+    bool accepts(telemetry::LogKind) override { return false; }
+    void write(const telemetry::LogEntry &) override { }
+};
+
+//! Decodes every datagram as the SYN of one flow.
+class FakeCodec : public flows::IPacketCodec
+{
+public:
+    std::optional<flows::FlowPacket> decode(std::span<const std::uint8_t>) const override
+    {
+        return flows::FlowPacket{.flow = {{9, 1}, {1, 80}}, .isSyn = true};
+    }
+    std::size_t encodeForward(std::span<const std::uint8_t>, upstreams::UpstreamId, std::uint32_t,
+                              std::span<std::uint8_t>) const override
+    {
+        return this->encodedBytes;
+    }
+    std::size_t encodeReset(const flows::FlowPacket &, std::span<std::uint8_t>) const override
+    {
+        return 0;
+    }
+
+    std::size_t encodedBytes = 40;
+};
+
+//! Sends datagrams to a packet path over loopback.
+struct Fixture
+{
+    Fixture(flows::FlowDirector &director, std::uint16_t port)
+        : address{0x7f000001, port}, path(this->loop, this->clock, this->codec, director, this->log,
+                                          this->metrics, this->address),
+          sender(net::BatchSocket::open({0x7f000001, 0}, this->reason))
+    {
+        cr_assert(this->path.start(), "%s", this->path.lastReason().detail.c_str());
+        cr_assert_not_null(this->sender.get());
+    }
+
+    //! Sends in portions that the receive buffer of the socket can hold.
+    void send(int count)
+    {
+        constexpr int kPortion = 50;
+        const std::uint8_t payload[40] = {};
+        for (int sent = 0; sent < count; sent += kPortion) {
+            for (int i = 0; i < std::min(kPortion, count - sent); ++i) {
+                this->sender->send(payload, this->address);
+            }
+            this->sender->flush();
+            this->loop.after(1ms, [this]() { this->loop.stop(); });
+            this->loop.run();
+        }
+    }
+
+    bool hasMetric(const std::string &line) const
+    {
+        return this->metrics.exposition().find(line + "\n") != std::string::npos;
+    }
+
+    net::Endpoint address;
+    net::LibeventLoop loop;
+    ManualClock clock;
+    FakeCodec codec;
+    NoLog log;
+    telemetry::PrometheusMetrics metrics;
+    Reason reason;
+    PacketPath path;
+    std::unique_ptr<net::BatchSocket> sender;
+};
+}
+
+Test(packetpath, packets_that_a_full_start_buffer_drops_are_counted)
+{
+    // Load pattern: all clients send while a VM starts.
+    constexpr int kBufferedPackets = 2048;
+    routing::RouteTable notLoaded;
+    flows::DirectorFixture parts;
+    flows::FlowDirector director(notLoaded, parts.registry, parts.membership, parts.table,
+                                 parts.policy, parts.pacer, VmName("a"), DataCentreName("obuda"),
+                                 {});
+    Fixture f(director, 21881);
+    f.send(kBufferedPackets + 52);
+    cr_assert(f.hasMetric("radishladder_packets_dropped_total{reason=\"FlowNotReady\"} 52"), "%s",
+              f.metrics.exposition().c_str());
+}
+
+Test(packetpath, a_packet_counts_as_forwarded_or_as_malformed_but_never_as_both)
+{
+    struct Row
+    {
+        std::size_t encodedBytes;
+        const char *forwarded;
+        const char *malformed;
+        std::uint16_t port;
+    };
+    const Row rows[] = {
+        {40, "radishladder_packets_forwarded_total 1", "radishladder_packets_malformed_total 0",
+         21882},
+        {0, "radishladder_packets_forwarded_total 0", "radishladder_packets_malformed_total 1",
+         21883},
+    };
+    for (const Row &row : rows) {
+        flows::DirectorFixture parts;
+        parts.add(1);
+        Fixture f(parts.director, row.port);
+        f.codec.encodedBytes = row.encodedBytes;
+        f.send(1);
+        cr_assert(f.hasMetric(row.forwarded), "%s", f.metrics.exposition().c_str());
+        cr_assert(f.hasMetric(row.malformed), "%s", f.metrics.exposition().c_str());
+    }
+}
--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -274,17 +274,14 @@
                             .text("detail", reader.lastReason().detail));
         return;
     }
-    const bool hasSameAddresses = newSettings->packets == this->settings.packets
-        && newSettings->readiness == this->settings.readiness
-        && newSettings->operations == this->settings.operations
-        && newSettings->store == this->settings.store;
+    const bool isRestartNeeded = settings::needsRestart(this->settings, *newSettings);
     this->settings.allowsAutomaticActions = newSettings->allowsAutomaticActions;
     this->settings.warmupOverage = newSettings->warmupOverage;
     this->settings.warmupSlack = newSettings->warmupSlack;
     this->settings.maxEvacuationDelay = newSettings->maxEvacuationDelay;
     this->applyLimits();
     this->log.write(LogEntry(LogKind::State, "settings.reloaded")
-                        .text("addresses", hasSameAddresses ? "unchanged" : "need a restart"));
+                        .text("addresses", isRestartNeeded ? "need a restart" : "unchanged"));
 }
 
 VmProcess::VmProcess(settings::VmSettings settings, std::string settingsPath)
--- a/src/settings/internal/vmsettingsreader.cpp
+++ b/src/settings/internal/vmsettingsreader.cpp
@@ -8,6 +8,7 @@
 constexpr std::int64_t kMaxDurationMs = 3'600'000;
 constexpr std::int64_t kMaxDurationSeconds = 86'400;
 constexpr std::int64_t kMaxMemoryMb = 1'000'000;
+constexpr double kMinLinkMbps = 0.001;
 constexpr double kMaxLinkMbps = 1'000'000;
 constexpr std::int64_t kMaxRatePerSecond = 100'000;
 constexpr double kMaxWarmupOverage = 100;
@@ -31,8 +32,8 @@
         reader.numberOr("warmupOverage", 0, kMaxWarmupOverage, settings.warmupOverage);
     settings.warmupSlack = static_cast<int>(
         reader.integerOr("warmupSlack", 0, kMaxRatePerSecond, settings.warmupSlack));
-    settings.linkMbps =
-        static_cast<int>(reader.numberOr("linkMbps", 0, kMaxLinkMbps, settings.linkMbps));
+    settings.linkMbps = static_cast<int>(
+        reader.numberOr("linkMbps", kMinLinkMbps, kMaxLinkMbps, settings.linkMbps));
     settings.memoryMb =
         static_cast<int>(reader.integerOr("memoryMb", 1, kMaxMemoryMb, settings.memoryMb));
     reader.rejectUnknownFields();
--- a/src/settings/tests/vmsettingsreadertest.cpp
+++ b/src/settings/tests/vmsettingsreadertest.cpp
@@ -83,6 +83,7 @@
         {"\"store\"", "\"firstStart\": 1, \"store\"", ResultCode::FieldType, "/firstStart"},
         {"3000", "0", ResultCode::FieldRange, "/limits/drainMs"},
         {"1.5", "\"much\"", ResultCode::FieldType, "/limits/warmupOverage"},
+        {"\"memoryMb\": 260", "\"linkMbps\": 0", ResultCode::FieldRange, "/limits/linkMbps"},
         {"\"memoryMb\": 260", "\"memoryGb\": 1", ResultCode::FieldUnknown, "/limits/memoryGb"},
         {"\"limits\"", "\"limit\"", ResultCode::FieldUnknown, "/limit"},
         {"{", "[", ResultCode::JsonMalformed, ""},
@@ -98,3 +99,36 @@
                   reader.lastReason().detail.c_str());
     }
 }
+
+Test(vmsettingsreader, changed_addresses_need_a_restart)
+{
+    struct Row
+    {
+        const char *name;
+        void (*change)(VmSettings &);
+        bool needsRestart;
+    };
+    const Row rows[] = {
+        {"nothing", [](VmSettings &) {}, false},
+        {"a limit", [](VmSettings &settings) { settings.warmupSlack = 7; }, false},
+        {"packets", [](VmSettings &settings) { settings.packets.port = 1; }, true},
+        {"readiness", [](VmSettings &settings) { settings.readiness.port = 1; }, true},
+        {"operations", [](VmSettings &settings) { settings.operations.port = 1; }, true},
+        {"store", [](VmSettings &settings) { settings.store.port = 1; }, true},
+        {"relay",
+         [](VmSettings &settings) {
+             settings.relay = net::Endpoint{1, 1};
+         },
+         true},
+        {"seeds",
+         [](VmSettings &settings) {
+             settings.seeds = {{1, 1}};
+         },
+         true},
+    };
+    for (const Row &row : rows) {
+        VmSettings changed;
+        row.change(changed);
+        cr_assert_eq(needsRestart(VmSettings(), changed), row.needsRestart, "%s", row.name);
+    }
+}
--- a/src/settings/types/vmsettings.h
+++ b/src/settings/types/vmsettings.h
@@ -73,4 +73,8 @@
     //! Maximum number of log lines per second for decisions on flows; further lines are dropped.
     int flowLogLinesPerSecond = 40;
 };
+
+//! Returns true if \a changed has addresses that take effect only after a restart of a process that
+//! runs with \a current.
+bool needsRestart(const VmSettings &current, const VmSettings &changed);
 }
