--- a/src/flows/tests/openingtest.cpp
+++ b/src/flows/tests/openingtest.cpp
@@ -294,3 +294,21 @@
         cr_assert_eq(f.pacer.canOpen({1}, 1, f.now), isWarm, "%s", row.name);
     }
 }
+
+Test(flowdirector, idle_open_flows_count_for_the_balance_of_upstreams)
+{
+    // Load pattern: clients hold long flows, which are idle most of the time and may all become
+    // busy at once.
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        DirectorFixture f("a", seed);
+        f.add(1);
+        f.add(2);
+        for (std::uint16_t port = 1; port <= 10; ++port) {
+            f.decide(f.data(port, 1, 101));
+            FlowPacket acknowledgement = f.data(port, 1, 301, 900);
+            acknowledgement.payloadBytes = 0;
+            f.decide(acknowledgement);
+        }
+        cr_assert_eq(f.decide(f.syn(100)).upstream.value, 2U, "seed %lu", seed);
+    }
+}
