--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -59,9 +59,11 @@
 flows::DirectorLimits directorLimits(const settings::VmSettings &settings, bool isFrozen,
                                      bool isWithdrawn)
 {
+    // The rest of the longest delay covers the way of the order from the store to this VM.
+    const auto evacuationGrace = settings.maxEvacuationDelay * 3 / 5;
     return {.warmupOverage = settings.warmupOverage,
             .warmupSlack = settings.warmupSlack,
-            .evacuationGrace = settings.maxEvacuationDelay * 3 / 5,
+            .evacuationGrace = evacuationGrace,
             .detectSilence = settings.allowsAutomaticActions && !isFrozen,
             .resetSilentFlows = !isWithdrawn};
 }
--- a/src/distribution/internal/changelog.cpp
+++ b/src/distribution/internal/changelog.cpp
@@ -4,6 +4,7 @@
 
 namespace radishladder::distribution {
 namespace {
+//! Limits memory. A peer that is further behind lists the prefix again.
 constexpr std::size_t kMaxItems = 1024;
 constexpr std::size_t kMaxBytes = 512 * 1024;
 }
--- a/src/distribution/internal/relayclient.cpp
+++ b/src/distribution/internal/relayclient.cpp
@@ -15,6 +15,7 @@
 
 namespace radishladder::distribution {
 namespace {
+//! Meanwhile requests go to the other relay or to the store.
 constexpr std::chrono::milliseconds kFailedBackoff{5000};
 
 //! Shorter than kFailedBackoff, because a relay that cannot serve a request may have just started.
--- a/src/distribution/internal/relayserver.cpp
+++ b/src/distribution/internal/relayserver.cpp
@@ -15,6 +15,7 @@
 
 namespace radishladder::distribution {
 namespace {
+//! Longer than the wait that peers request.
 constexpr std::chrono::milliseconds kMaxWait{5000};
 
 //! Limits memory if peers send requests repeatedly without waiting for a response.
--- a/src/flows/internal/flowtable.cpp
+++ b/src/flows/internal/flowtable.cpp
@@ -9,6 +9,7 @@
 
 //! A client that has sent nothing for this long is no longer counted as awaiting a response.
 constexpr std::chrono::milliseconds kMaxBusyTime{2500};
+//! Clients have given up opening, or have retransmitted their FIN, within this time.
 constexpr std::chrono::milliseconds kMaxOpeningTime{3000};
 constexpr std::chrono::milliseconds kMaxClosingTime{3000};
 
