Fuzz what peers send compressed, and offers

Cause: relays' responses may be compressed and VMs receive offers; the fuzz target knew neither.

Change: fuzz_platform compresses and restores each input, parses it as a relay's body both ways and compares, and sends it to /offer.

--- a/tools/fuzz/fuzzplatform.cpp
+++ b/tools/fuzz/fuzzplatform.cpp
@@ -2,6 +2,7 @@
 #include "distribution/relaycodec.h"
 #include "distribution/relayserver.h"
 #include "global/manualclock.h"
+#include "net/compression.h"
 #include "net/types/httprequest.h"
 #include "net/types/httpresponse.h"
 #include "net/types/httpresult.h"
@@ -55,7 +56,22 @@
         }
     }
     platform::parseLease(result, 0);
-    distribution::parseRelayText(text);
+}
+
+//! Checks that compressed text is restored, and that responses of relays are parsed alike whether
+//! they are compressed or not.
+void fuzzRelayResponse(const std::string &text)
+{
+    constexpr std::size_t kMaxBytes = 4096;
+    const auto compressed = net::compress(text);
+    if (!compressed || net::decompress(*compressed, kMaxBytes) != text) {
+        std::abort();
+    }
+    const bool isParsed = distribution::parseRelayText(text).has_value();
+    if (distribution::parseRelayBody(*compressed).has_value() != isParsed) {
+        std::abort();
+    }
+    distribution::parseRelayBody(text);
 }
 
 //! Checks that the relay server gives at most one response to any request of a peer.
@@ -64,7 +80,7 @@
     ManualClock clock;
     distribution::ChangeCache cache;
     distribution::RelayServer server(cache, clock);
-    for (const char *path : {"/changes", "/listing", "/contact"}) {
+    for (const char *path : {"/changes", "/listing", "/contact", "/offer"}) {
         int responses = 0;
         server.handle({.path = path, .query = text},
                       [&responses](const net::HttpResponse &) { ++responses; });
@@ -87,5 +103,6 @@
     platform::ConfigurationDecoder().decode(text);
     settings::VmSettingsReader().parse(text, "fuzz");
     fuzzStoreResponse(text);
+    fuzzRelayResponse(text);
     return 0;
 }
