--- a/src/app/tests/packetpathtest.cpp
+++ b/src/app/tests/packetpathtest.cpp
@@ -127,3 +127,18 @@
         cr_assert(f.hasMetric(row.malformed), "%s", f.metrics.exposition().c_str());
     }
 }
+
+Test(packetpath, syns_that_were_queued_while_the_process_was_paused_are_dropped)
+{
+    // Load pattern: a VM resumes, and its clients have opened their flows through other VMs.
+    flows::DirectorFixture parts;
+    parts.add(1);
+    Fixture f(parts.director, 21884);
+    f.path.recordRunning();
+    f.clock.suspend(2s);
+    f.send(1);
+    cr_assert(f.hasMetric("radishladder_packets_forwarded_total 0"), "%s",
+              f.metrics.exposition().c_str());
+    cr_assert(f.hasMetric("radishladder_packets_dropped_total{reason=\"FlowOvertaken\"} 1"), "%s",
+              f.metrics.exposition().c_str());
+}
--- a/src/distribution/tests/snapshotofferstest.cpp
+++ b/src/distribution/tests/snapshotofferstest.cpp
@@ -72,6 +72,10 @@
                 restarted.insert(i);
             }
         }
+        // All lose power before the first one starts again, so none gets a listing of a relay.
+        for (const std::size_t index : restarted) {
+            dataCentre.vms[index]->isPaused = true;
+        }
         for (const std::size_t index : restarted) {
             restart(dataCentre, index, true);
         }
