review: case 1, a relay with a hung watch makes followers reset live flows (FLOW)

In each broken run VMs reset open flows of unsafe requests whose host was up, 4.8 s or more after a silence of the store of 0.12 s.

--- /dev/null
+++ b/review/standin/deployment.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "client.h"
+#include "host.h"
+#include "record.h"
+#include "store.h"
+#include "vm.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace review {
+
+//! A small deployment on loopback: real VM processes between stand-ins of the store, the routers,
+//! the hosts and the clients.
+class Deployment
+{
+public:
+    Deployment(const std::string &program, const std::string &folder);
+    ~Deployment();
+    Deployment(const Deployment &) = delete;
+    Deployment &operator=(const Deployment &) = delete;
+
+    //! Starts the store, \a vmCount VMs, \a startDelay apart, and the client; returns false if that
+    //! fails.
+    bool start(int vmCount, Milliseconds startDelay = Milliseconds(0));
+
+    //! Starts a host; returns null if that fails.
+    Host *addHost(std::uint64_t id, Milliseconds work, const std::string &service = "orders");
+
+    //! Calls \a task once all VMs are in rotation; stops the loop if they aren't in time.
+    void whenReady(const std::function<void()> &task);
+
+    //! Returns a client port, not used before, whose flows the routers send to \a vm while all VMs
+    //! are in rotation.
+    std::uint16_t portThrough(const Vm &vm);
+    Endpoint service() const;
+
+    //! Returns the VM that the routers choose for \a flow, or would choose without \a excluded.
+    Vm *route(const FlowKey &flow, const Vm *excluded = nullptr) const;
+
+    Loop loop;
+    Record record;
+    std::unique_ptr<Store> store;
+    std::unique_ptr<Client> client;
+    std::vector<std::unique_ptr<Vm>> vms;
+    std::vector<std::unique_ptr<Host>> hosts;
+    bool isReady = false;
+
+    //! Requests that a host runs at the same time; for hosts that are added from now on.
+    int slots = 3;
+
+private:
+    void send(const FlowKey &flow, const Packet &packet);
+
+    std::string program;
+    std::string directory;
+    std::uint16_t packetPort = 0;
+    std::uint16_t lastPort = 1024;
+    int routerSocket = -1;
+};
+}
