review: case 1, a VM resets flows on a host that has started again under its id (FLOW)

It takes the place of the case on colliding tokens; the cases are renumbered: relay 2, lost SYN+ACK 3, evacuation 5. The case on draining hosts goes too, as it has the cause of case 5; both stay runnable in the stand-ins.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,7 +5,7 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
 [ -x target/review/lab ] && [ -x target/src/app/radishladderd ] || exit 2
-timeout -k 3 115 target/review/lab drain target/src/app/radishladderd "$folder"
+timeout -k 3 115 target/review/lab stray target/src/app/radishladderd "$folder"
 status=$?
 [ "$status" -le 1 ] && exit "$status"
 exit 2
--- a/review/standin/cases.h
+++ b/review/standin/cases.h
@@ -21,4 +21,7 @@
 Verdict runStray(Deployment &deployment);
 Verdict runCollision(Deployment &deployment);
 Verdict runRelay(Deployment &deployment);
+Verdict runReturn(Deployment &deployment);
+Verdict runRoute(Deployment &deployment);
+Verdict runListing(Deployment &deployment);
 }
--- a/review/standin/deployment.cpp
+++ b/review/standin/deployment.cpp
@@ -10,6 +10,8 @@
 const std::string kZone = "zone-a";
 const std::string kOrders = "orders";
 const std::string kStock = "stock";
+constexpr std::uint16_t kStockPort = 8081;
+constexpr std::uint16_t kAddedPort = 8082;
 constexpr Milliseconds kReadyCheck{100};
 constexpr double kReadyLimitSeconds = 12;
 constexpr int kMaxVms = 8;
@@ -24,21 +26,23 @@
     return loopback(77, static_cast<unsigned>(11 + vm));
 }
 
-std::string routeText(const std::string &name, const Endpoint &address, const std::string &service)
+std::string routeText(const std::string &name, const Endpoint &address, const std::string &service,
+                      const std::string &kind)
 {
     return "{\"name\":\"" + name + "\",\"hostname\":\"" + addressText(address.address)
-        + "\",\"prefix\":\"/" + std::to_string(address.port)
-        + "/\",\"type\":\"unsafe\",\"timeout_ms\":4000,\"target_latency_ms\":250,\"priority\":1,"
+        + "\",\"prefix\":\"/" + std::to_string(address.port) + "/\",\"type\":\"" + kind
+        + "\",\"timeout_ms\":4000,\"target_latency_ms\":250,\"priority\":1,"
           "\"service\":\""
         + service + "\",\"attempts\":2}";
 }
 
-std::string serviceText(const std::string &name)
+std::string serviceText(const std::string &name, Milliseconds warmup)
 {
     return "{\"name\":\"" + name
         + "\",\"health_path\":\"/"
           "health\",\"max_connections\":2000,\"protocol\":\"h1\",\"tls\":false,"
-          "\"warmup_s\":0.0,\"warmup_per_s\":0.0}";
+          "\"warmup_s\":"
+        + std::to_string(warmup.count() / 1000) + ".0,\"warmup_per_s\":0.0}";
 }
 
 std::uint64_t score(const FlowKey &flow, std::uint32_t vm)
@@ -96,11 +100,7 @@
     if (port == 0 || !this->store->start() || !this->client->start() || this->routerSocket < 0) {
         return false;
     }
-    this->store->put("op/config",
-                     "{\"version\":3,\"routes\":[" + routeText("r-1", this->service(), kOrders)
-                         + "," + routeText("r-2", {this->service().address, 8081}, kStock)
-                         + "],\"services\":[" + serviceText(kOrders) + "," + serviceText(kStock)
-                         + "],\"limits\":{\"idle_timeout_ms\":15000}}");
+    this->configure(3, false);
     for (int i = 0; i < vmCount; ++i) {
         this->vms.push_back(std::make_unique<Vm>(this->loop, this->record,
                                                  Vm::Settings{.name = "vm-" + std::to_string(i + 1),
@@ -122,7 +122,22 @@
     return true;
 }
 
-Host *Deployment::addHost(std::uint64_t id, Milliseconds work, const std::string &service)
+void Deployment::configure(int version, bool hasAddedRoute)
+{
+    const std::uint32_t address = this->service().address;
+    const std::string added =
+        hasAddedRoute ? "," + routeText("r-3", {address, kAddedPort}, kOrders, this->kind) : "";
+    this->store->put("op/config",
+                     "{\"version\":" + std::to_string(version) + ",\"routes\":["
+                         + routeText("r-1", this->service(), kOrders, this->kind) + ","
+                         + routeText("r-2", {address, kStockPort}, kStock, "unsafe") + added
+                         + "],\"services\":[" + serviceText(kOrders, this->warmup) + ","
+                         + serviceText(kStock, this->warmup)
+                         + "],\"limits\":{\"idle_timeout_ms\":15000}}");
+}
+
+Host *Deployment::addHost(std::uint64_t id, Milliseconds work, const std::string &service,
+                          const Host *previous)
 {
     const auto number = static_cast<unsigned>(this->hosts.size());
     this->hosts.push_back(std::make_unique<Host>(
@@ -131,10 +146,13 @@
                        .name = "host-" + std::to_string(number + 1),
                        .zone = kZone,
                        .service = service,
-                       .address = {loopback(77, 150 + number), this->packetPort},
+                       .address = previous != nullptr
+                           ? previous->about().address
+                           : Endpoint{loopback(77, 150 + number), this->packetPort},
                        .clientPort = this->packetPort,
                        .work = work,
-                       .slots = this->slots}));
+                       .slots = this->slots,
+                       .warmup = this->isReady ? this->warmup : Milliseconds(0)}));
     return this->hosts.back()->start() ? this->hosts.back().get() : nullptr;
 }
 
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -26,8 +26,10 @@
     //! fails.
     bool start(int vmCount, Milliseconds startDelay = Milliseconds(0));
 
-    //! Starts a host; returns null if that fails.
-    Host *addHost(std::uint64_t id, Milliseconds work, const std::string &service = "orders");
+    //! Starts a host, at the address of \a previous if that is not null; returns null if that
+    //! fails.
+    Host *addHost(std::uint64_t id, Milliseconds work, const std::string &service = "orders",
+                  const Host *previous = nullptr);
 
     //! Calls \a task once all VMs are in rotation; stops the loop if they aren't in time.
     void whenReady(const std::function<void()> &task);
@@ -37,6 +39,10 @@
     std::uint16_t portThrough(const Vm &vm);
     Endpoint service() const;
 
+    //! Writes a configuration in which the service has a second route, on port 8082, if
+    //! \a hasAddedRoute.
+    void configure(int version, bool hasAddedRoute);
+
     //! Returns the VM that the routers choose for \a flow, or would choose without \a excluded.
     Vm *route(const FlowKey &flow, const Vm *excluded = nullptr) const;
 
@@ -51,6 +57,12 @@
     //! Requests that a host runs at the same time; for hosts that are added from now on.
     int slots = 3;
 
+    //! Time for which hosts that start during traffic are cold; set before start().
+    Milliseconds warmup{0};
+
+    //! Kind of the requests of the service; set before start().
+    std::string kind = "unsafe";
+
 private:
     void send(const FlowKey &flow, const Packet &packet);
 
--- a/review/standin/host.cpp
+++ b/review/standin/host.cpp
@@ -40,7 +40,16 @@
         return false;
     }
     this->loop.watch(this->socket, [this]() { this->receive(); });
+    this->isCold = this->settings.warmup.count() > 0;
     this->publish();
+    if (this->isCold) {
+        this->loop.after(this->settings.warmup, [this, guard = std::weak_ptr<int>(this->alive)]() {
+            if (!guard.expired()) {
+                this->isCold = false;
+                this->publish();
+            }
+        });
+    }
     return true;
 }
 
@@ -51,8 +60,9 @@
                         + endpointText(this->settings.address) + "\",\"zone\":\""
                         + this->settings.zone + "\",\"version\":\"v1\",\"concurrency\":"
                         + std::to_string(this->settings.slots) + ",\"state\":\""
-                        + (this->draining ? "draining" : "ready")
-                        + "\",\"warmup_left_ms\":0,\"sequence\":1,\"born\":1796400000000}");
+                        + (this->draining ? "draining" : "ready") + "\",\"warmup_left_ms\":"
+                        + std::to_string(this->isCold ? this->settings.warmup.count() : 0)
+                        + ",\"sequence\":1,\"born\":1796400000000}");
 }
 
 void Host::drain()
--- a/review/standin/host.h
+++ b/review/standin/host.h
@@ -26,6 +26,9 @@
         std::uint16_t clientPort = 0;
         Milliseconds work{50};
         int slots = 3;
+
+        //! Time for which the host is cold after its start.
+        Milliseconds warmup{0};
     };
 
     //! Called with the opening packet of each flow that the host takes.
@@ -80,6 +83,7 @@
     OpeningHandler onOpening;
     int socket = -1;
     bool draining = false;
+    bool isCold = false;
     bool losesSynAck = false;
     std::size_t atWork = 0;
     std::map<FlowKey, Flow> flows;
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -17,6 +17,15 @@
     if (name == "relay") {
         return review::runRelay(deployment);
     }
+    if (name == "listing") {
+        return review::runListing(deployment);
+    }
+    if (name == "route") {
+        return review::runRoute(deployment);
+    }
+    if (name == "return") {
+        return review::runReturn(deployment);
+    }
     if (name == "stray") {
         return review::runStray(deployment);
     }
--- a/review/standin/relaycase.cpp
+++ b/review/standin/relaycase.cpp
@@ -1,5 +1,6 @@
 #include "cases.h"
 #include "flowcase.h"
+#include "stockrelease.h"
 
 #include <algorithm>
 
@@ -20,13 +21,15 @@
         }
         FlowCase judge(this->deployment);
         this->flows = &judge;
-        for (std::uint64_t id = 1; id <= kHosts; ++id) {
-            if (this->deployment.addHost(kFirstId + id * 7919, kWork) == nullptr
-                || this->deployment.addHost(this->nextStockId(), kWork, kStock) == nullptr) {
+        for (int i = 1; i <= kHosts; ++i) {
+            if (this->deployment.addHost(kFirstId + i * 7919U, kWork) == nullptr) {
                 return Verdict::NotRun;
             }
         }
-        this->deployment.loop.after(Milliseconds(100), [this]() { this->replaceStockHost(); });
+        StockRelease release(this->deployment);
+        if (!release.start(kHosts)) {
+            return Verdict::NotRun;
+        }
         this->deployment.whenReady([this]() {
             this->deployment.loop.after(kCalm, [this]() { this->awaitRelayWatch(); });
             this->deployment.loop.after(kLimit, [this]() {
@@ -46,19 +49,13 @@
 private:
     static constexpr int kVms = 6;
     static constexpr int kSlots = 16;
-    static constexpr std::uint64_t kHosts = 4;
+    static constexpr int kHosts = 4;
     static constexpr std::uint64_t kFirstId = 0x7f3a91c200;
-    static constexpr const char *kStock = "stock";
     static constexpr Milliseconds kWork{20};
     static constexpr Milliseconds kStartDelay{55};
     static constexpr Milliseconds kCalm{6000};
     static constexpr Milliseconds kLimit{30000};
 
-    //! Interval of the steps in which the hosts of the other service are replaced.
-    static constexpr Milliseconds kReleaseStep{400};
-    static constexpr Milliseconds kDrainTime{3600};
-    static constexpr int kMaxReplaced = 45;
-
     //! Time between two calls of a relay that gets changes all the time.
     static constexpr Milliseconds kWatchInterval{1205};
     static constexpr Milliseconds kLead{60};
@@ -72,29 +69,12 @@
     static constexpr Milliseconds kOpening{2000};
     static constexpr Milliseconds kRestart{2900};
     static constexpr Milliseconds kSecondRequest{4100};
+
+    //! Half of the flows send their second request later by this time.
+    static constexpr Milliseconds kLater{350};
     static constexpr Milliseconds kEnd{11000};
     static constexpr int kFlowsPerVm = 30;
 
-    std::uint64_t nextStockId() { return 0x3311000000 + ++this->stockHosts * 104729; }
-
-    //! A release of the other service: a new host starts, then an old one drains and ends.
-    void replaceStockHost()
-    {
-        Loop &loop = this->deployment.loop;
-        if (this->stockHosts >= kMaxReplaced) {
-            return;
-        }
-        const auto &hosts = this->deployment.hosts;
-        const auto old = std::ranges::find_if(hosts, [](const auto &host) {
-            return host->isUp() && !host->isDraining() && host->about().service == kStock;
-        });
-        Host *leaving = old->get();
-        this->deployment.addHost(this->nextStockId(), kWork, kStock);
-        loop.after(kReleaseStep, [leaving]() { leaving->drain(); });
-        loop.after(kReleaseStep + kDrainTime, [leaving]() { leaving->leave(); });
-        loop.after(kReleaseStep * 2, [this]() { this->replaceStockHost(); });
-    }
-
     //! Waits for a moment in which only one of the two relays is about to call the store.
     void awaitRelayWatch()
     {
@@ -154,9 +134,9 @@
     {
         for (const auto &vm : this->deployment.vms) {
             for (int i = 0; i < kFlowsPerVm; ++i) {
-                this->deployment.client->open(this->deployment.portThrough(*vm),
-                                              this->deployment.service(),
-                                              {Milliseconds(0), kSecondRequest - kOpening});
+                this->deployment.client->open(
+                    this->deployment.portThrough(*vm), this->deployment.service(),
+                    {Milliseconds(0), kSecondRequest - kOpening + kLater * (i % 2)});
             }
         }
     }
@@ -192,7 +172,6 @@
     Deployment &deployment;
     FlowCase *flows = nullptr;
     std::vector<FlowKey> flowsOfAdded;
-    int stockHosts = 0;
     bool hasBegun = false;
 };
 }
--- a/review/standin/store.cpp
+++ b/review/standin/store.cpp
@@ -94,7 +94,8 @@
     //! A response was lost on this connection.
     bool isMute = false;
 
-    //! When the connection last began to watch the entries of the hosts.
+    //! When the connection first and last began to watch the entries of the hosts.
+    Time firstHostWatchAt;
     Time hostWatchAt;
 };
 
@@ -129,12 +130,17 @@
 
 std::vector<Time> Store::hostWatches() const
 {
-    std::vector<Time> times;
+    std::map<Time, Time> lastByFirst;
     for (const auto &[descriptor, connection] : this->connections) {
         if (connection->hostWatchAt != Time() && !connection->isMute) {
-            times.push_back(connection->hostWatchAt);
+            lastByFirst[connection->firstHostWatchAt] = connection->hostWatchAt;
         }
     }
+    std::vector<Time> times;
+    times.reserve(lastByFirst.size());
+    for (const auto &[first, last] : lastByFirst) {
+        times.push_back(last);
+    }
     return times;
 }
 
@@ -279,6 +285,9 @@
 {
     if (request.query.at("prefix") == "servers/") {
         connection->hostWatchAt = Clock::now();
+        if (connection->firstHostWatchAt == Time()) {
+            connection->firstHostWatchAt = connection->hostWatchAt;
+        }
     }
     this->watches.push_back(
         {connection, request.query.at("prefix"), number(request.query.at("after"))});
--- a/review/standin/store.h
+++ b/review/standin/store.h
@@ -33,7 +33,8 @@
     //! Returns when a lease was last renewed.
     Time lastRenewal() const { return this->renewedAt; }
 
-    //! Returns when each connection last began to watch the entries of the hosts.
+    //! Returns when each connection last began to watch the entries of the hosts; in the order in
+    //! which the connections first did so.
     std::vector<Time> hostWatches() const;
 
     //! Returns when each lease was last renewed.
--- a/review/standin/vm.cpp
+++ b/review/standin/vm.cpp
@@ -106,6 +106,7 @@
 void Vm::startProbes()
 {
     this->probe();
+    this->nextProbeAt = Clock::now() + kProbeInterval;
     this->loop.after(kProbeInterval, [this]() { this->startProbes(); });
 }
 
--- a/review/standin/vm.h
+++ b/review/standin/vm.h
@@ -43,6 +43,7 @@
     //! Probes the readiness address twice a second, as the routers do.
     void startProbes();
 
+    Time nextProbe() const { return this->nextProbeAt; }
     bool isInRotation() const { return this->misses < 2; }
     const std::string &name() const { return this->settings.name; }
     Endpoint packets() const { return {this->settings.address, this->settings.packets}; }
@@ -60,5 +61,6 @@
     int misses = 2;
     int probeSocket = -1;
     std::uint64_t probes = 0;
+    Time nextProbeAt;
 };
 }
