--- a/review/standin/listingcase.cpp
+++ b/review/standin/listingcase.cpp
@@ -22,10 +22,14 @@
         FlowCase judge(this->deployment);
         StockRelease release(this->deployment);
         if (this->deployment.addHost(kFirstId, kWork) == nullptr
-            || this->deployment.addHost(kOtherId, kWork) == nullptr
-            || !release.start(kStockHosts)) {
+            || this->deployment.addHost(kOtherId, kWork) == nullptr || !release.start()) {
             return Verdict::NotRun;
         }
+        for (int i = 1; i <= kFurtherHosts; ++i) {
+            if (this->deployment.addHost(kOtherId + i * 7919U, kWork) == nullptr) {
+                return Verdict::NotRun;
+            }
+        }
         Loop &loop = this->deployment.loop;
         this->deployment.whenReady([this, &loop]() {
             this->openFlow();
@@ -48,7 +52,7 @@
     static constexpr std::uint64_t kFirstId = 0x7f3a91c200;
     static constexpr std::uint64_t kAddedId = 0x7f3a95c311;
     static constexpr std::uint64_t kOtherId = 0x51c0ffe100;
-    static constexpr int kStockHosts = 3;
+    static constexpr int kFurtherHosts = 1;
     static constexpr Milliseconds kWork{40};
     static constexpr Milliseconds kStartDelay{200};
 
--- a/review/standin/relaycase.cpp
+++ b/review/standin/relaycase.cpp
@@ -27,7 +27,7 @@
             }
         }
         StockRelease release(this->deployment);
-        if (!release.start(kHosts)) {
+        if (!release.start()) {
             return Verdict::NotRun;
         }
         this->deployment.whenReady([this]() {
--- a/review/standin/returncase.cpp
+++ b/review/standin/returncase.cpp
@@ -20,10 +20,14 @@
         FlowCase judge(this->deployment);
         StockRelease release(this->deployment);
         if (this->deployment.addHost(kId, kWork) == nullptr
-            || this->deployment.addHost(kOtherId, kWork) == nullptr
-            || !release.start(kStockHosts)) {
+            || this->deployment.addHost(kOtherId, kWork) == nullptr || !release.start()) {
             return Verdict::NotRun;
         }
+        for (int i = 1; i <= kFurtherHosts; ++i) {
+            if (this->deployment.addHost(kOtherId + i * 7919U, kWork) == nullptr) {
+                return Verdict::NotRun;
+            }
+        }
         Loop &loop = this->deployment.loop;
         this->deployment.whenReady([this, &loop]() {
             loop.after(kDrain, [this]() { this->deployment.hosts[0]->drain(); });
@@ -47,7 +51,7 @@
     static constexpr std::uint64_t kId = 0x7f3a91c200;
     static constexpr std::uint64_t kNewId = 0x7f3a95c311;
     static constexpr std::uint64_t kOtherId = 0x51c0ffe100;
-    static constexpr int kStockHosts = 3;
+    static constexpr int kFurtherHosts = 6;
     static constexpr Milliseconds kWork{300};
     static constexpr Milliseconds kStartDelay{200};
 
@@ -62,7 +66,7 @@
     static constexpr Milliseconds kProbeInterval{500};
     static constexpr Milliseconds kMinLead{80};
     static constexpr Milliseconds kEnd{9000};
-    static constexpr int kFlows = 8;
+    static constexpr int kFlows = 24;
 
     void at(Time time, std::function<void()> task)
     {
--- a/review/standin/stockrelease.cpp
+++ b/review/standin/stockrelease.cpp
@@ -7,9 +7,11 @@
 const std::string kStock = "stock";
 constexpr Milliseconds kWork{20};
 constexpr Milliseconds kFirstStep{100};
-constexpr Milliseconds kStep{400};
+constexpr Milliseconds kStep{425};
 constexpr Milliseconds kDrainTime{3600};
-constexpr int kMaxHosts = 45;
+//! Hosts at first, and how many of them are replaced: a share of 0.45, one at a time, 0.85 s apart.
+constexpr int kHosts = 40;
+constexpr int kReplaced = 18;
 }
 
 std::uint64_t StockRelease::nextId()
@@ -17,9 +19,9 @@
     return 0x3311000000 + ++this->count * 104729;
 }
 
-bool StockRelease::start(int hosts)
+bool StockRelease::start()
 {
-    for (int i = 0; i < hosts; ++i) {
+    for (int i = 0; i < kHosts; ++i) {
         if (this->deployment.addHost(this->nextId(), kWork, kStock) == nullptr) {
             return false;
         }
@@ -34,7 +36,7 @@
     const auto old = std::ranges::find_if(hosts, [](const auto &host) {
         return host->isUp() && !host->isDraining() && host->about().service == kStock;
     });
-    if (this->count >= kMaxHosts || old == hosts.end()) {
+    if (this->count >= kHosts + kReplaced || old == hosts.end()) {
         return;
     }
     Loop &loop = this->deployment.loop;
--- a/review/standin/stockrelease.h
+++ b/review/standin/stockrelease.h
@@ -11,8 +11,8 @@
 public:
     explicit StockRelease(Deployment &deployment) : deployment(deployment) { }
 
-    //! Adds \a hosts hosts and begins to replace them; returns false if that fails.
-    bool start(int hosts);
+    //! Adds the hosts and begins to replace some of them; returns false if that fails.
+    bool start();
 
 private:
     std::uint64_t nextId();
