distribution: date confirmations of the listing by the call that brought them (FLOW)

Cause: a relay took any response of the store, of any prefix or to a renewal, for proof that it was current; its followers dated its "no changes" by arrival and reset flows whose token they didn't list.

Change: each response carries the time until which it includes all changes, the time at which its call was sent; relays pass the age of their own confirmation of that prefix; a relay whose watch failed stops serving the prefix; the director asks the store at once when a reset depends on a newer confirmation, and resets only with one that is newer than the flow's wait.

--- a/src/app/packetpath.h
+++ b/src/app/packetpath.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <span>
 
@@ -46,6 +47,12 @@
     bool isHealthy() const override { return this->socket != nullptr; }
     Reason lastReason() const override { return this->reason; }
 
+    //! Sets the function that is called when a decision needs the newest changes of the upstreams.
+    void setConfirmationHandler(std::function<void()> handler)
+    {
+        this->confirmationHandler = std::move(handler);
+    }
+
     //! Must be called several times per second, so that pauses of the process are detected.
     void recordRunning();
 
@@ -68,6 +75,7 @@
     flows::FlowDirector &director;
     telemetry::IEventLog &log;
     net::Endpoint local;
+    std::function<void()> confirmationHandler;
     std::unique_ptr<PacketCounters> counters;
     std::unique_ptr<net::BatchSocket> socket;
     PacketBuffer packetBuffer;
--- a/src/app/storeview.h
+++ b/src/app/storeview.h
@@ -64,6 +64,9 @@
     //! Ends this VM's membership; called before a planned stop.
     void leave() { this->leaseMembership.leave(); }
 
+    //! Requests the newest changes of the upstreams from the store.
+    void confirmUpstreams() { this->upstreamFollower.confirm(); }
+
     const membership::IMembership &membership() const { return this->leaseMembership; }
     distribution::RelayServer &relay() { return this->relayServer; }
 
--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -148,6 +148,7 @@
     }
     this->storeView.start(
         [this](bool isConnected) { this->readiness.setStoreConnected(isConnected); });
+    this->packetPath.setConfirmationHandler([this]() { this->storeView.confirmUpstreams(); });
     this->watchSignals();
     this->loop.every(kTickInterval, [this]() { this->tick(); });
     this->log.write(LogEntry(LogKind::State, "process.started")
--- a/src/distribution/changecache.h
+++ b/src/distribution/changecache.h
@@ -53,14 +53,20 @@
     //! Records that a watch of \a prefix starts at the store, for changes after \a after.
     void recordWatch(const std::string &prefix, std::uint64_t after);
 
-    //! Adds the store's response to a watch of \a prefix for changes after \a after.
+    //! Adds the store's response to a watch of \a prefix for changes after \a after; the response
+    //! includes every change until \a confirmedAt.
     void addChanges(const std::string &prefix, std::uint64_t after,
-                    const store::StoreListing &changes);
+                    const store::StoreListing &changes, BootTime confirmedAt);
+
+    //! Records that a watch of \a prefix at the store has failed: changes may be missing until the
+    //! next response for \a prefix.
+    void recordFailedWatch(const std::string &prefix);
 
     //! Adds a page of the store's listing of \a prefix. A prefix listed by a linearizable read is
-    //! watched next, so this VM can serve its changes to peers from then on.
+    //! watched next, so this VM can serve its changes to peers from then on; the listing includes
+    //! every change until \a confirmedAt.
     void addPage(const std::string &prefix, store::ReadKind kind, const std::string &afterKey,
-                 const store::StoreListing &page, BootTime now);
+                 const store::StoreListing &page, BootTime confirmedAt, BootTime now);
 
     //! Discards the change log of \a prefix, because this VM watches the prefix through a relay
     //! from now on.
@@ -70,9 +76,10 @@
     void addRelayedListing(const std::string &prefix, const store::StoreListing &listing,
                            BootTime readAt);
 
-    //! Adds a relay's response to a watch for changes after \a after.
+    //! Adds a relay's response to a watch for changes after \a after, which includes every change
+    //! until \a confirmedAt.
     void addRelayedChanges(const std::string &prefix, std::uint64_t after,
-                           const store::StoreListing &changes, BootTime now);
+                           const store::StoreListing &changes, BootTime confirmedAt, BootTime now);
 
     //! Returns the changes under \a prefix after \a after, for a peer that has all earlier ones.
     RelayResponse changesAfter(const std::string &prefix, std::uint64_t after, BootTime now) const;
@@ -82,6 +89,9 @@
 
 private:
     bool canServeChanges(const std::string &prefix, BootTime now) const;
+    //! Returns the time since the state of \a prefix was last confirmed; without a confirmation of
+    //! its own, the time since this VM last received data of the store.
+    std::chrono::milliseconds ageOf(const std::string &prefix, BootTime now) const;
     bool isFreshEnough(const std::string &prefix, SnapshotAge age, BootTime now) const;
     bool wasListedRecently(const std::string &prefix, BootTime now) const;
     void notifyListener() const;
@@ -89,13 +99,17 @@
     std::map<std::string, ChangeLog> logs;
     std::map<std::string, PrefixSnapshot> snapshots;
 
-    //! Watched prefixes for which the store has not responded since it was last lost.
+    //! Watched prefixes for which the store has not responded since it was last lost or since their
+    //! watch failed.
     std::set<std::string> unconfirmed;
 
     //! Time of the store's last response to a listing, by prefix.
     std::map<std::string, BootTime> listedAt;
     std::optional<BootTime> lastResponseAt;
 
+    //! Time until which this VM has every change, by prefix.
+    std::map<std::string, BootTime> confirmedAt;
+
     //! Time at which the newest data was read from the store, by this VM or by another VM.
     BootTime dataReadAt{0};
     std::function<void()> listener;
--- a/src/distribution/internal/changecache.cpp
+++ b/src/distribution/internal/changecache.cpp
@@ -58,9 +58,10 @@
 }
 
 void ChangeCache::addChanges(const std::string &prefix, std::uint64_t after,
-                             const store::StoreListing &changes)
+                             const store::StoreListing &changes, BootTime confirmedUntil)
 {
     this->unconfirmed.erase(prefix);
+    this->confirmedAt[prefix] = confirmedUntil;
     this->logs[prefix].append(after, changes);
     this->snapshots[prefix].applyChanges(after, changes);
     if (!changes.items.empty()) {
@@ -68,13 +69,22 @@
     }
 }
 
+void ChangeCache::recordFailedWatch(const std::string &prefix)
+{
+    this->unconfirmed.insert(prefix);
+    this->notifyListener();
+}
+
 void ChangeCache::addPage(const std::string &prefix, store::ReadKind kind,
                           const std::string &afterKey, const store::StoreListing &page,
-                          BootTime now)
+                          BootTime confirmedUntil, BootTime now)
 {
     PrefixSnapshot &snapshot = this->snapshots[prefix];
     snapshot.addPage(afterKey, page);
     this->listedAt[prefix] = now;
+    if (kind == store::ReadKind::Linearizable && afterKey.empty()) {
+        this->confirmedAt[prefix] = confirmedUntil;
+    }
     const auto listing = snapshot.listing();
     if (kind == store::ReadKind::Stale || !listing) {
         return;
@@ -89,6 +99,7 @@
                                     BootTime readAt)
 {
     this->dataReadAt = std::max(this->dataReadAt, readAt);
+    this->confirmedAt[prefix] = readAt;
     this->snapshots[prefix].addPage("", listing);
     this->listedAt.erase(prefix);
     this->logs.erase(prefix);
@@ -96,9 +107,11 @@
 }
 
 void ChangeCache::addRelayedChanges(const std::string &prefix, std::uint64_t after,
-                                    const store::StoreListing &changes, BootTime now)
+                                    const store::StoreListing &changes, BootTime confirmedUntil,
+                                    BootTime now)
 {
     this->dataReadAt = now;
+    this->confirmedAt[prefix] = confirmedUntil;
     this->snapshots[prefix].applyChanges(after, changes);
 }
 
@@ -141,6 +154,14 @@
     return true;
 }
 
+std::chrono::milliseconds ChangeCache::ageOf(const std::string &prefix, BootTime now) const
+{
+    const auto confirmed = this->confirmedAt.find(prefix);
+    const BootTime since =
+        confirmed == this->confirmedAt.end() ? this->dataReadAt : confirmed->second;
+    return std::chrono::ceil<std::chrono::milliseconds>(now - since);
+}
+
 RelayResponse ChangeCache::snapshot(const std::string &prefix, SnapshotAge age, BootTime now) const
 {
     const auto snapshot = this->snapshots.find(prefix);
@@ -153,7 +174,7 @@
     }
     return {.outcome = RelayOutcome::Changes,
             .listing = std::move(*listing),
-            .age = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->dataReadAt)};
+            .age = this->ageOf(prefix, now)};
 }
 
 RelayResponse ChangeCache::changesAfter(const std::string &prefix, std::uint64_t after,
@@ -167,7 +188,7 @@
     if (!items) {
         return {.outcome = RelayOutcome::Unavailable};
     }
-    RelayResponse response{.outcome = RelayOutcome::NoChanges};
+    RelayResponse response{.outcome = RelayOutcome::NoChanges, .age = this->ageOf(prefix, now)};
     response.listing.status = store::StoreStatus::Ok;
     response.listing.revision = std::max(after, log.lastRevision());
     if (!items->empty()) {
--- a/src/distribution/internal/relayedstore.cpp
+++ b/src/distribution/internal/relayedstore.cpp
@@ -67,6 +67,13 @@
     std::shared_ptr<ListingState> state;
 };
 
+//! The times at which a call is sent, on both clocks.
+struct RelayedStore::SendTime
+{
+    std::chrono::steady_clock::time_point steady;
+    ChangeCache::BootTime boot;
+};
+
 struct RelayedStore::Watch
 {
     std::string prefix;
@@ -105,6 +112,11 @@
     }
 }
 
+RelayedStore::SendTime RelayedStore::sendTime() const
+{
+    return {this->clock.now(), this->clock.timeSinceBoot()};
+}
+
 RelayedStore::Listing RelayedStore::beginListing(const std::string &prefix,
                                                  const std::string &afterKey, store::ReadKind kind,
                                                  ListingHandler handler)
@@ -120,8 +132,8 @@
         return;
     }
     listing.state->isStoreQueried = true;
-    const auto handler = [this, listing](const store::StoreListing &page) {
-        this->onPage(listing, page);
+    const auto handler = [this, listing, sent = this->sendTime()](const store::StoreListing &page) {
+        this->onPage(listing, page, sent);
     };
     const bool isFirstListing =
         listing.afterKey.empty() && !this->cache.hasSnapshot(listing.prefix);
@@ -132,7 +144,8 @@
     }
 }
 
-void RelayedStore::onPage(const Listing &listing, const store::StoreListing &page)
+void RelayedStore::onPage(const Listing &listing, const store::StoreListing &page,
+                          const SendTime &sent)
 {
     if (listing.state->isDone) {
         return;
@@ -142,9 +155,12 @@
     if (page.age) {
         this->cache.addRelayedListing(listing.prefix, page, now - *page.age);
     } else if (page.status == StoreStatus::Ok) {
-        this->cache.addPage(listing.prefix, listing.kind, listing.afterKey, page, now);
+        this->cache.addPage(listing.prefix, listing.kind, listing.afterKey, page, sent.boot, now);
     }
-    listing.handler(page);
+    const bool isConfirmed = !page.age && listing.kind == store::ReadKind::Linearizable;
+    store::StoreListing confirmed = page;
+    confirmed.confirmedAt = isConfirmed ? sent.steady : std::chrono::steady_clock::time_point();
+    listing.handler(confirmed);
 }
 
 void RelayedStore::listFromRelay(const net::Endpoint &relay, const Listing &listing)
@@ -157,11 +173,12 @@
                                    .maxDuration = kMaxListingDuration};
     ++listing.state->relayRequests;
     this->relayClient.send(relay, listing.prefix, request,
-                           [this, relay, listing](const std::optional<RelayResponse> &response) {
+                           [this, relay, listing,
+                            sent = this->sendTime()](const std::optional<RelayResponse> &response) {
                                if (!response || response->outcome == RelayOutcome::QueryStore) {
                                    this->onRelayFailed(relay, listing);
                                } else {
-                                   this->onRelayListing(listing, *response);
+                                   this->onRelayListing(listing, *response, sent);
                                }
                            });
 }
@@ -194,7 +211,8 @@
     });
 }
 
-void RelayedStore::onRelayListing(const Listing &listing, const RelayResponse &response)
+void RelayedStore::onRelayListing(const Listing &listing, const RelayResponse &response,
+                                  const SendTime &sent)
 {
     if (listing.state->isDone) {
         return;
@@ -204,9 +222,12 @@
     if (listing.state->isStoreQueried) {
         this->store.cancel(listing.prefix);
     }
-    this->cache.addRelayedListing(listing.prefix, response.listing,
-                                  this->clock.timeSinceBoot() - response.age);
-    listing.handler(response.listing);
+    this->cache.addRelayedListing(listing.prefix, response.listing, sent.boot - response.age);
+    store::StoreListing confirmed = response.listing;
+    if (listing.kind == store::ReadKind::Linearizable) {
+        confirmed.confirmedAt = sent.steady - response.age;
+    }
+    listing.handler(confirmed);
 }
 
 void RelayedStore::watch(const std::string &prefix, std::uint64_t revision,
@@ -226,15 +247,32 @@
     // From now on the cache can serve peers that have all changes up to this revision.
     this->cache.recordWatch(watch.prefix, watch.revision);
     this->store.watch(watch.prefix, watch.revision, watch.wait,
-                      [this, watch](const store::StoreListing &response) {
+                      [this, watch, sent = this->sendTime()](const store::StoreListing &response) {
                           if (response.status == StoreStatus::Ok) {
                               this->cache.recordResponse(this->clock.timeSinceBoot());
-                              this->cache.addChanges(watch.prefix, watch.revision, response);
+                              this->cache.addChanges(watch.prefix, watch.revision, response,
+                                                     sent.boot);
+                          } else {
+                              this->cache.recordFailedWatch(watch.prefix);
                           }
-                          watch.handler(response);
+                          store::StoreListing confirmed = response;
+                          confirmed.confirmedAt = sent.steady;
+                          watch.handler(confirmed);
                       });
 }
 
+void RelayedStore::readChanges(const std::string &prefix, std::uint64_t revision,
+                               ListingHandler handler)
+{
+    this->store.readChanges(prefix, revision,
+                            [handler = std::move(handler),
+                             sent = this->sendTime()](const store::StoreListing &response) {
+                                store::StoreListing confirmed = response;
+                                confirmed.confirmedAt = sent.steady;
+                                handler(confirmed);
+                            });
+}
+
 void RelayedStore::watchThroughRelay(const net::Endpoint &relay, const Watch &watch)
 {
     this->cache.stopRelaying(watch.prefix);
@@ -244,14 +282,17 @@
         .timeout = kRelayWatchWait + kRelayTimeoutMargin,
         .maxDuration = kMaxRelayWatchDuration};
     this->relayClient.send(
-        relay, watch.prefix, request, [this, watch](const std::optional<RelayResponse> &response) {
+        relay, watch.prefix, request,
+        [this, watch, sent = this->sendTime()](const std::optional<RelayResponse> &response) {
             if (!response || response->outcome == RelayOutcome::QueryStore) {
                 this->watchAtStore(watch);
                 return;
             }
             this->cache.addRelayedChanges(watch.prefix, watch.revision, response->listing,
-                                          this->clock.timeSinceBoot());
-            watch.handler(response->listing);
+                                          sent.boot - response->age, this->clock.timeSinceBoot());
+            store::StoreListing confirmed = response->listing;
+            confirmed.confirmedAt = sent.steady - response->age;
+            watch.handler(confirmed);
         });
 }
 
--- a/src/distribution/internal/relayserver.cpp
+++ b/src/distribution/internal/relayserver.cpp
@@ -34,6 +34,9 @@
 //! Bytes of listings sent between two ticks; more would delay changes on a narrow link.
 constexpr std::size_t kListingBytesPerTick = 1024 * 1024;
 
+//! Ages are rounded up to a multiple of this, so that peers that are served together get one body.
+constexpr std::chrono::milliseconds kAgeStep{100};
+
 constexpr const char *kCompressedType = "application/zlib";
 
 std::string fieldOf(const std::map<std::string, std::string> &fields, const char *name)
@@ -185,11 +188,13 @@
 const std::string &RelayServer::bodyFor(const PendingRequest &pending,
                                         const RelayResponse &response)
 {
-    const BodyKey key{pending.prefix, pending.after, response.listing.revision,
+    RelayResponse rounded = response;
+    rounded.age = (response.age + kAgeStep - std::chrono::milliseconds(1)) / kAgeStep * kAgeStep;
+    const BodyKey key{pending.prefix, pending.after, rounded.listing.revision, rounded.age,
                       pending.acceptsCompressed};
     const auto [body, isNew] = this->bodies.try_emplace(key);
     if (isNew) {
-        body->second = relayText(response);
+        body->second = relayText(rounded);
         if (pending.acceptsCompressed && body->second.size() >= kMinCompressedBytes) {
             body->second = net::compress(body->second).value_or(body->second);
         }
--- a/src/distribution/relayedstore.h
+++ b/src/distribution/relayedstore.h
@@ -56,6 +56,8 @@
               ListingHandler handler) override;
     void watch(const std::string &prefix, std::uint64_t revision, std::chrono::milliseconds wait,
                ListingHandler handler) override;
+    void readChanges(const std::string &prefix, std::uint64_t revision,
+                     ListingHandler handler) override;
     void cancel(const std::string &prefix) override;
     void grantLease(std::chrono::milliseconds timeToLive, LeaseHandler handler) override;
     void renewLease(std::uint64_t lease, LeaseHandler handler) override;
@@ -86,17 +88,21 @@
 private:
     struct Listing;
     struct ListingState;
+    struct SendTime;
     struct Watch;
 
+    SendTime sendTime() const;
+
     //! Creates the state of a listing whose result \a handler receives exactly once.
     Listing beginListing(const std::string &prefix, const std::string &afterKey,
                          store::ReadKind kind, ListingHandler handler);
     void listFromStore(const Listing &listing);
-    void onPage(const Listing &listing, const store::StoreListing &page);
+    void onPage(const Listing &listing, const store::StoreListing &page, const SendTime &sent);
     void listFromRelay(const net::Endpoint &relay, const Listing &listing);
     void listFromFurtherSources(const net::Endpoint &firstRelay, const Listing &listing);
     void onRelayFailed(const net::Endpoint &relay, const Listing &listing);
-    void onRelayListing(const Listing &listing, const RelayResponse &response);
+    void onRelayListing(const Listing &listing, const RelayResponse &response,
+                        const SendTime &sent);
     void watchAtStore(const Watch &watch);
     void watchThroughRelay(const net::Endpoint &relay, const Watch &watch);
 
--- a/src/distribution/relayserver.h
+++ b/src/distribution/relayserver.h
@@ -62,8 +62,9 @@
     };
 
     //! Identifies responses with equal bodies: prefix, revision after which changes are requested,
-    //! revision of the response, and whether the body is compressed.
-    using BodyKey = std::tuple<std::string, std::optional<std::uint64_t>, std::uint64_t, bool>;
+    //! revision and age of the response, and whether the body is compressed.
+    using BodyKey = std::tuple<std::string, std::optional<std::uint64_t>, std::uint64_t,
+                               std::chrono::milliseconds, bool>;
 
     void handleChanges(const net::HttpRequest &request, const net::IHttpServer::Responder &respond);
     void handleOffer(const net::HttpRequest &request, const net::IHttpServer::Responder &respond);
--- a/src/distribution/tests/changecachetest.cpp
+++ b/src/distribution/tests/changecachetest.cpp
@@ -1,6 +1,7 @@
 #include "distribution/changecache.h"
 
 #include "distribution/types/relayresponse.h"
+#include "distribution/types/snapshotage.h"
 #include "store/types/readkind.h"
 
 #include <criterion/criterion.h>
@@ -50,18 +51,28 @@
          [](ChangeCache &cache) {
              cache.recordStoreLost();
              cache.recordResponse(kStart);
-             cache.addChanges("up/", 12, changes(13));
+             cache.addChanges("up/", 12, changes(13), kStart);
          },
          13, 0ms, RelayOutcome::NoChanges},
+        {"the watch failed, and renewals still get responses",
+         [](ChangeCache &cache) {
+             cache.recordFailedWatch("up/");
+             cache.recordResponse(kStart);
+         },
+         12, 0ms, RelayOutcome::Unavailable},
+        {"the watch of another prefix failed",
+         [](ChangeCache &cache) { cache.recordFailedWatch("down/"); }, 12, 0ms,
+         RelayOutcome::NoChanges},
         {"watches through a relay itself", [](ChangeCache &cache) { cache.stopRelaying("up/"); },
          12, 0ms, RelayOutcome::Unavailable},
-        {"listed again", [](ChangeCache &cache) { cache.addChanges("up/", 20, changes(21)); }, 12,
-         0ms, RelayOutcome::Unavailable},
+        {"listed again",
+         [](ChangeCache &cache) { cache.addChanges("up/", 20, changes(21), kStart); }, 12, 0ms,
+         RelayOutcome::Unavailable},
     };
     for (const Row &row : rows) {
         ChangeCache cache;
         cache.recordResponse(kStart);
-        cache.addChanges("up/", 10, changes(12));
+        cache.addChanges("up/", 10, changes(12), kStart);
         row.change(cache);
         const RelayResponse response = cache.changesAfter("up/", row.after, kStart + row.age);
         cr_assert_eq(response.outcome, row.outcome, "%s", row.name);
@@ -75,7 +86,7 @@
     ChangeCache cache;
     cache.recordResponse(kStart);
     for (std::uint64_t revision = 1; revision <= 5000; ++revision) {
-        cache.addChanges("up/", revision - 1, changes(revision, 100));
+        cache.addChanges("up/", revision - 1, changes(revision, 100), kStart);
     }
     cr_assert_eq(cache.changesAfter("up/", 0, kStart).outcome, RelayOutcome::Unavailable);
     cr_assert_eq(cache.changesAfter("up/", 4500, kStart).listing.items.size(), 500U);
@@ -91,7 +102,7 @@
     const Row rows[] = {
         {"listed from the store",
          [](ChangeCache &cache) {
-             cache.addPage("up/", store::ReadKind::Linearizable, "", changes(13), kStart);
+             cache.addPage("up/", store::ReadKind::Linearizable, "", changes(13), kStart, kStart);
          }},
         {"listed through a relay, which serves the peers instead",
          [](ChangeCache &cache) { cache.addRelayedListing("up/", changes(13), kStart); }},
@@ -100,10 +111,43 @@
     };
     for (const Row &row : rows) {
         ChangeCache cache;
-        cache.addChanges("up/", 10, changes(12));
+        cache.addChanges("up/", 10, changes(12), kStart);
         int notifications = 0;
         cache.setChangeListener([&notifications]() { ++notifications; });
         row.change(cache);
         cr_assert_eq(notifications, 1, "%s", row.name);
     }
 }
+
+Test(changecache, the_age_of_a_response_is_that_of_its_own_prefix)
+{
+    // Guards against a relay whose watch of one prefix hangs: responses to other calls say nothing
+    // about that prefix.
+    struct Row
+    {
+        const char *name;
+        void (*change)(ChangeCache &);
+        std::chrono::milliseconds age;
+    };
+    const Row rows[] = {
+        {"no further response", [](ChangeCache &) {}, 2000ms},
+        {"renewal", [](ChangeCache &cache) { cache.recordResponse(kStart + 2s); }, 2000ms},
+        {"watch of another prefix",
+         [](ChangeCache &cache) { cache.addChanges("down/", 3, changes(13), kStart + 2s); },
+         2000ms},
+        {"watch without changes",
+         [](ChangeCache &cache) { cache.addChanges("up/", 12, {.revision = 12}, kStart + 1500ms); },
+         500ms},
+    };
+    for (const Row &row : rows) {
+        ChangeCache cache;
+        cache.recordResponse(kStart);
+        cache.addPage("up/", store::ReadKind::Linearizable, "", changes(12), kStart, kStart);
+        row.change(cache);
+        const RelayResponse response = cache.changesAfter("up/", 12, kStart + 2s);
+        cr_assert_eq(response.outcome, RelayOutcome::NoChanges, "%s", row.name);
+        cr_assert_eq(response.age.count(), row.age.count(), "%s", row.name);
+        cr_assert_eq(cache.snapshot("up/", SnapshotAge::Any, kStart + 2s).age.count(),
+                     row.age.count(), "%s", row.name);
+    }
+}
--- a/src/distribution/tests/handovertest.cpp
+++ b/src/distribution/tests/handovertest.cpp
@@ -200,8 +200,8 @@
              store::StoreListing page{.status = store::StoreStatus::Ok, .revision = 6};
              page.items.push_back({.key = "up/a", .revision = 2});
              page.hasMore = true;
-             cache.addPage("up/", ReadKind::Linearizable, "", page, 0ns);
-             cache.addChanges("up/", 5, {.revision = 5});
+             cache.addPage("up/", ReadKind::Linearizable, "", page, 0ns, 0ns);
+             cache.addChanges("up/", 5, {.revision = 5}, 0ns);
          },
          ReadKind::Linearizable, SnapshotAge::New, 0ms, RelayOutcome::Unavailable},
         {"received from a peer",
@@ -212,7 +212,7 @@
          ReadKind::Stale, SnapshotAge::Polled, 0ms, RelayOutcome::Unavailable},
         {"trouble",
          [](ChangeCache &cache) {
-             cache.addChanges("up/", 5, {.revision = 5});
+             cache.addChanges("up/", 5, {.revision = 5}, kStart);
              cache.recordStoreLost();
          },
          ReadKind::Linearizable, SnapshotAge::New, 0ms, RelayOutcome::Unavailable},
@@ -221,7 +221,7 @@
         ChangeCache cache;
         cache.recordResponse(kStart);
         cache.addPage("up/", row.listed, "", {.status = store::StoreStatus::Ok, .revision = 5},
-                      kStart);
+                      kStart, kStart);
         row.change(cache);
         const RelayResponse response = cache.snapshot("up/", row.allowed, kStart + row.age);
         cr_assert_eq(response.outcome, row.outcome, "%s", row.name);
--- a/src/distribution/tests/relayedstoretest.cpp
+++ b/src/distribution/tests/relayedstoretest.cpp
@@ -144,3 +144,29 @@
         cr_assert(isRelay || notifications[vm.get()] == (std::vector<bool>{false, true}));
     }
 }
+
+Test(relayedstore, no_vm_claims_to_have_a_change_that_its_relay_has_not_received)
+{
+    // Guards against resets of flows on an upstream that was added while the watch of a relay hung:
+    // the store is silent for a moment, and the relay's other calls get responses afterwards.
+    for (const auto silence : {120ms, 250ms, 1000ms, 2600ms, 6000ms}) {
+        for (auto offset = 0ms; offset < 1500ms; offset += 50ms) {
+            TestDataCentre dataCentre(6);
+            dataCentre.store.put("up/a", "1");
+            dataCentre.loop.advance(offset);
+            dataCentre.store.setMode(standins::MemoryStore::Mode::Silent);
+            dataCentre.loop.advance(silence);
+            dataCentre.store.setMode(standins::MemoryStore::Mode::Serving);
+            dataCentre.loop.advance(200ms);
+            dataCentre.store.put("up/b", "added");
+            const auto addedAt = dataCentre.clock.now();
+            for (int step = 0; step < 200; ++step) {
+                dataCentre.loop.advance(50ms);
+                for (const auto &vm : dataCentre.vms) {
+                    cr_assert(vm->confirmedAt <= addedAt || vm->values.contains("up/b"),
+                              "silent for %ld ms after %ld ms", silence.count(), offset.count());
+                }
+            }
+        }
+    }
+}
--- a/src/distribution/tests/relayservertest.cpp
+++ b/src/distribution/tests/relayservertest.cpp
@@ -31,8 +31,8 @@
     {
         store::StoreListing page{.status = store::StoreStatus::Ok, .revision = 5};
         page.items.push_back({.key = "up/a", .value = value, .revision = 5});
-        this->cache.addPage("up/", store::ReadKind::Linearizable, "", page,
-                            this->clock.timeSinceBoot());
+        const auto now = this->clock.timeSinceBoot();
+        this->cache.addPage("up/", store::ReadKind::Linearizable, "", page, now, now);
     }
 
     //! The store reports a change of one item to \a value.
@@ -40,7 +40,7 @@
     {
         store::StoreListing changes{.status = store::StoreStatus::Ok, .revision = 6};
         changes.items.push_back({.key = "up/b", .value = value, .revision = 6});
-        this->cache.addChanges("up/", 5, changes);
+        this->cache.addChanges("up/", 5, changes, this->clock.timeSinceBoot());
     }
 
     ManualClock clock;
--- a/src/distribution/tests/storelink.h
+++ b/src/distribution/tests/storelink.h
@@ -42,6 +42,16 @@
                               }
                           });
     }
+    void readChanges(const std::string &prefix, std::uint64_t revision,
+                     ListingHandler handler) override
+    {
+        ++this->calls;
+        if (this->isCut) {
+            this->failLater(kCallTimeout, handler);
+        } else {
+            this->store.readChanges(prefix, revision, std::move(handler));
+        }
+    }
     void cancel(const std::string &) override { }
     void grantLease(std::chrono::milliseconds, LeaseHandler) override { }
     void renewLease(std::uint64_t lease, LeaseHandler handler) override
--- a/src/distribution/tests/testdatacentre.h
+++ b/src/distribution/tests/testdatacentre.h
@@ -61,7 +61,11 @@
                 }
             }
         }
-        void onUpToDate() override { ++this->upToDateCalls; }
+        void onUpToDate(std::chrono::steady_clock::time_point confirmed) override
+        {
+            ++this->upToDateCalls;
+            this->confirmedAt = std::max(this->confirmedAt, confirmed);
+        }
         void onConnectionLost(const std::string &) override { }
         void onConnectionRestored() override { }
 
@@ -69,6 +73,9 @@
 
         //! Number of calls to onUpToDate().
         int upToDateCalls = 0;
+
+        //! Time until which this VM claims to have all changes.
+        std::chrono::steady_clock::time_point confirmedAt;
         bool isPaused = false;
         StoreLink link;
         ChangeCache cache;
--- a/src/distribution/types/relayresponse.h
+++ b/src/distribution/types/relayresponse.h
@@ -21,8 +21,7 @@
     RelayOutcome outcome = RelayOutcome::Unavailable;
     store::StoreListing listing;
 
-    //! Only for snapshots: time since the responding VM last received data of the store, directly
-    //! or through a relay.
+    //! The response includes every change that the store accepted until this long ago.
     std::chrono::milliseconds age{0};
 };
 }
--- a/src/flows/internal/openflowdirector.cpp
+++ b/src/flows/internal/openflowdirector.cpp
@@ -15,10 +15,6 @@
 constexpr int kSilentFlowsForReset = 3;
 constexpr int kRetransmissionsForSharedReset = 2;
 
-//! A response of the store that arrives this long after a packet can't have been in flight already
-//! when the packet was sent.
-constexpr std::chrono::milliseconds kConfirmationAge{300};
-
 //! Time without a response after which two silent flows suffice for a reset, or one if other
 //! upstreams respond promptly.
 constexpr std::chrono::milliseconds kLongSilence{1200};
@@ -194,9 +190,7 @@
     }
     const bool isSilent = record != nullptr && record->retransmissions > 0 && !packet.isRst;
     if (upstream == nullptr) {
-        const bool canReset = isSilent && this->isUnlisted(*record);
-        return refusePacket(canReset ? FlowAction::Reset : FlowAction::Drop,
-                            ResultCode::FlowTokenUnknown);
+        return this->refuseUnlisted(record, isSilent);
     }
     if (upstream->presence == upstreams::Presence::Gone && isSilent) {
         FlowDecision decision = refusePacket(FlowAction::Reset, ResultCode::FlowUpstreamGone);
@@ -211,12 +205,17 @@
     return {};
 }
 
-bool OpenFlowDirector::isUnlisted(const FlowRecord &record) const
+FlowDecision OpenFlowDirector::refuseUnlisted(const FlowRecord *record, bool isSilent) const
 {
-    // An upstream that isn't listed has ended, unless it was added after the store last confirmed
-    // the listing: a watch may deliver no changes while other requests to the store succeed.
-    return this->registry.isReliable()
-        && this->registry.confirmedAt() - record.waitingSince >= kConfirmationAge;
+    // An upstream that isn't listed has ended, or it was added after the time until which this VM
+    // has the changes of the listing. A watch may hang meanwhile, here or at a relay.
+    const bool isConfirmed =
+        record != nullptr && this->registry.confirmedAt() >= record->waitingSince;
+    const bool canReset = isSilent && isConfirmed && this->registry.isReliable();
+    FlowDecision decision =
+        refusePacket(canReset ? FlowAction::Reset : FlowAction::Drop, ResultCode::FlowTokenUnknown);
+    decision.needsConfirmation = record != nullptr && !isConfirmed;
+    return decision;
 }
 
 bool OpenFlowDirector::isTimedOut(const FlowPacket &packet, const FlowRecord &record,
--- a/src/flows/internal/openflowdirector.h
+++ b/src/flows/internal/openflowdirector.h
@@ -58,9 +58,9 @@
     //! Returns why \a packet must not be forwarded; its reason is Ok if it may be forwarded.
     FlowDecision decideRefusal(const FlowPacket &packet, FlowRecord *record,
                                const upstreams::UpstreamRecord *upstream, TimePoint now);
-    //! Returns true if the store has confirmed, since the flow began to wait, that it doesn't list
-    //! the upstream of \a record.
-    bool isUnlisted(const FlowRecord &record) const;
+    //! Refuses a packet whose token belongs to no listed upstream; resets the flow only if the
+    //! store has confirmed the listing since the flow began to wait.
+    FlowDecision refuseUnlisted(const FlowRecord *record, bool isSilent) const;
     //! Returns true if the flow has waited so long that a reset, after which its client can retry,
     //! is better than further waiting.
     bool isTimedOut(const FlowPacket &packet, const FlowRecord &record, TimePoint now) const;
--- a/src/flows/tests/flowdirectortest.cpp
+++ b/src/flows/tests/flowdirectortest.cpp
@@ -138,33 +138,35 @@
 
 Test(flowdirector, a_silent_flow_on_an_unlisted_upstream_is_reset_only_after_store_confirmation)
 {
-    // Guards against two failures: a VM joined after an upstream had crashed and never received its
-    // entry; the watch of a VM delivered no changes while another VM opened a flow on an upstream
-    // that had just started.
+    // Guards against three failures: a VM joined after an upstream had crashed and never received
+    // its entry; the watch of a VM or of its relay delivered no changes while another VM opened a
+    // flow on an upstream that had just started.
     struct Row
     {
         const char *name;
         bool isReliable;
-        std::chrono::milliseconds confirmedAfter; //!< after the first packet; 0 for never
+        std::chrono::milliseconds confirmedAfter; //!< relative to the first packet
         FlowAction action;
     };
     const Row rows[] = {
-        {"listed again since", true, 400ms, FlowAction::Reset},
-        {"store response already in flight", true, 100ms, FlowAction::Drop},
-        {"watch delivers no changes", true, 0ms, FlowAction::Drop},
-        {"registry not reliable", false, 400ms, FlowAction::Drop},
+        {"confirmed since", true, 4ms, FlowAction::Reset},
+        {"confirmed until just before the first packet", true, -1ms, FlowAction::Drop},
+        {"watch delivers no changes", true, -3s, FlowAction::Drop},
+        {"registry not reliable", false, 4ms, FlowAction::Drop},
     };
     for (const Row &row : rows) {
         DirectorFixture f;
         f.add(1);
         f.registry.setReliable(row.isReliable);
-        f.registry.recordConfirmation(f.now);
-        cr_assert_eq(f.decide(f.data(1, 77, 101)).action, FlowAction::Drop);
-        if (row.confirmedAfter > 0ms) {
-            f.registry.recordConfirmation(f.now + row.confirmedAfter);
-        }
+        f.registry.recordConfirmation(f.now - 3s);
+        const FlowDecision first = f.decide(f.data(1, 77, 101));
+        cr_assert_eq(first.action, FlowAction::Drop);
+        cr_assert(first.needsConfirmation, "%s", row.name);
+        f.registry.recordConfirmation(f.now + row.confirmedAfter);
         f.now += 600ms;
-        cr_assert_eq(f.decide(f.data(1, 77, 101)).action, row.action, "%s", row.name);
+        const FlowDecision again = f.decide(f.data(1, 77, 101));
+        cr_assert_eq(again.action, row.action, "%s", row.name);
+        cr_assert_eq(again.needsConfirmation, row.confirmedAfter < 0ms, "%s", row.name);
         f.add(77);
         f.now += 800ms;
         cr_assert_eq(f.decide(f.data(1, 77, 101)).action, FlowAction::Forward, "%s", row.name);
--- a/src/store/internal/prefixfollower.cpp
+++ b/src/store/internal/prefixfollower.cpp
@@ -7,10 +7,14 @@
 #include "store/types/storelisting.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace radishladder::store {
 namespace {
 constexpr std::chrono::milliseconds kProbeWait{1};
+
+//! Shortest time between two calls of confirm().
+constexpr std::chrono::milliseconds kConfirmationInterval{250};
 }
 
 PrefixFollower::PrefixFollower(IStore &store, net::IEventLoop &loop, IPrefixListener &listener,
@@ -58,6 +62,7 @@
     // returns again the changes that later pages already contain.
     if (this->listedItems.empty()) {
         this->firstPageRevision = page.revision;
+        this->firstPageConfirmedAt = page.confirmedAt;
     }
     this->listedItems.insert(this->listedItems.end(), page.items.begin(), page.items.end());
     if (page.hasMore && !page.items.empty()) {
@@ -67,9 +72,10 @@
     const std::vector<StoreItem> items = std::move(this->listedItems);
     this->listedItems.clear();
     this->seenRevision = this->firstPageRevision;
+    this->deliveredRevision = this->firstPageRevision;
     this->synchronized = true;
     this->listener.onSnapshot(items);
-    this->listener.onUpToDate();
+    this->listener.onUpToDate(this->firstPageConfirmedAt);
     this->schedule(page.isRelayed ? this->pacing.relayedBatchDelay : this->pacing.batchDelay,
                    &PrefixFollower::watch);
 }
@@ -77,6 +83,7 @@
 void PrefixFollower::applyStaleListing(const StoreListing &listing)
 {
     this->seenRevision = listing.revision;
+    this->deliveredRevision = listing.revision;
     this->synchronized = true;
     this->listener.onSnapshot(listing.items);
     this->reportConnectionLost("the store has not confirmed the snapshot from another VM");
@@ -114,17 +121,87 @@
     }
     this->recordSuccess();
     this->seenRevision = std::max(this->seenRevision, changes.revision);
+    this->deliver(changes);
     if (changes.items.empty()) {
-        this->listener.onUpToDate();
         this->watch();
         return;
     }
-    this->listener.onChanges(changes.items);
-    this->listener.onUpToDate();
     this->schedule(changes.isRelayed ? this->pacing.relayedBatchDelay : this->pacing.batchDelay,
                    &PrefixFollower::watch);
 }
 
+void PrefixFollower::deliver(const StoreListing &changes)
+{
+    std::vector<StoreItem> undelivered;
+    std::ranges::copy_if(
+        changes.items, std::back_inserter(undelivered),
+        [this](const StoreItem &item) { return item.revision > this->deliveredRevision; });
+    this->deliveredRevision = std::max(this->deliveredRevision, changes.revision);
+    if (!undelivered.empty()) {
+        this->listener.onChanges(undelivered);
+    }
+    this->listener.onUpToDate(changes.confirmedAt);
+}
+
+void PrefixFollower::confirm()
+{
+    // While the connection is lost, each response of the store already follows a call made for it.
+    if (!this->synchronized || !this->connected || this->isStoreLost) {
+        return;
+    }
+    if (this->isConfirming) {
+        this->isConfirmationRequested = true;
+        return;
+    }
+    this->isConfirming = true;
+    this->isConfirmationRequested = false;
+    this->store.readChanges(
+        this->prefix, this->seenRevision,
+        [this, guard = std::weak_ptr<int>(this->alive)](const StoreListing &changes) {
+            if (!guard.expired()) {
+                this->onConfirmation(changes);
+            }
+        });
+}
+
+void PrefixFollower::onConfirmation(const StoreListing &changes)
+{
+    // The pending watch delivers the same changes again, so the next watch still starts at
+    // seenRevision.
+    if (changes.status == StoreStatus::Ok) {
+        this->deliver(changes);
+        this->schedule(kConfirmationInterval, &PrefixFollower::endConfirmation);
+        return;
+    }
+    // A watch that was sent to the same store may never get a response either.
+    if (changes.status != StoreStatus::Compacted) {
+        this->recordFailure(changes);
+    }
+    this->schedule(std::chrono::milliseconds(0), &PrefixFollower::watchAgain);
+}
+
+void PrefixFollower::endConfirmation()
+{
+    this->isConfirming = false;
+    if (this->isConfirmationRequested) {
+        this->confirm();
+    }
+}
+
+void PrefixFollower::watchAgain()
+{
+    this->cancelCalls();
+    this->watch();
+}
+
+void PrefixFollower::cancelCalls()
+{
+    this->alive = std::make_shared<int>(0);
+    this->isConfirming = false;
+    this->isConfirmationRequested = false;
+    this->store.cancel(this->prefix);
+}
+
 void PrefixFollower::recordSuccess()
 {
     this->retryDelay = this->pacing.firstRetryDelay;
@@ -160,8 +237,7 @@
 void PrefixFollower::onStoreRestored()
 {
     this->isStoreLost = false;
-    this->alive = std::make_shared<int>(0);
-    this->store.cancel(this->prefix);
+    this->cancelCalls();
     this->retryDelay = this->pacing.firstRetryDelay;
     if (this->synchronized) {
         this->watch();
--- a/src/store/iprefixlistener.h
+++ b/src/store/iprefixlistener.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -18,8 +19,9 @@
     //! Called with changes, in the order of their revisions.
     virtual void onChanges(const std::vector<StoreItem> &items) = 0;
 
-    //! Called when the store has confirmed that the listener has received every change so far.
-    virtual void onUpToDate() { }
+    //! Called when the listener has received every change that the store accepted before
+    //! \a confirmedAt.
+    virtual void onUpToDate(std::chrono::steady_clock::time_point /*confirmedAt*/) { }
 
     //! Called when the store is unreachable or refuses calls; \a detail gives the reason.
     virtual void onConnectionLost(const std::string &detail) = 0;
--- a/src/store/istore.h
+++ b/src/store/istore.h
@@ -32,7 +32,13 @@
     virtual void watch(const std::string &prefix, std::uint64_t revision,
                        std::chrono::milliseconds wait, ListingHandler handler) = 0;
 
-    //! Cancels the running list or watch call of \a prefix and closes its connection.
+    //! Requests the changes under \a prefix after \a revision at once and from the store itself,
+    //! beside a pending watch.
+    virtual void readChanges(const std::string &prefix, std::uint64_t revision,
+                             ListingHandler handler) = 0;
+
+    //! Cancels the running list, watch and readChanges() calls of \a prefix and closes their
+    //! connections.
     virtual void cancel(const std::string &prefix) = 0;
 
     virtual void grantLease(std::chrono::milliseconds timeToLive, LeaseHandler handler) = 0;
--- a/src/store/prefixfollower.h
+++ b/src/store/prefixfollower.h
@@ -30,6 +30,10 @@
 
     void start();
 
+    //! Checks at once, at the store itself, whether there are changes that the pending watch has
+    //! not delivered. Requests in quick succession share a call.
+    void confirm();
+
     void onStoreLost(const std::string &detail) override;
     void onStoreRestored() override;
 
@@ -45,6 +49,12 @@
     void watch();
     void watchFor(std::chrono::milliseconds wait);
     void onWatchResponse(const StoreListing &changes);
+    void onConfirmation(const StoreListing &changes);
+    void endConfirmation();
+    void deliver(const StoreListing &changes);
+    void watchAgain();
+    //! Cancels all calls and timers of this follower.
+    void cancelCalls();
     void recordSuccess();
     void recordFailure(const StoreListing &response);
     void reportConnectionLost(const std::string &detail);
@@ -60,6 +70,10 @@
     std::uint64_t seenRevision = 0;
     bool synchronized = false;
 
+    //! Revision up to which the listener has received all changes; later than seenRevision if
+    //! confirm() found changes that the watch has not delivered yet.
+    std::uint64_t deliveredRevision = 0;
+
     //! False between onConnectionLost() and onConnectionRestored() of the listener. Unlike
     //! isStoreLost, it also reflects the results of this follower's own calls.
     bool connected = true;
@@ -71,6 +85,11 @@
     //! Items of the pages received so far, while the prefix is listed.
     std::vector<StoreItem> listedItems;
     std::uint64_t firstPageRevision = 0;
+    std::chrono::steady_clock::time_point firstPageConfirmedAt;
+
+    //! A call of confirm() is running or ended a moment ago.
+    bool isConfirming = false;
+    bool isConfirmationRequested = false;
 
     //! Replaced when the running call is cancelled, so that late responses and timers are ignored.
     std::shared_ptr<int> alive = std::make_shared<int>(0);
--- a/src/store/tests/prefixfollowertest.cpp
+++ b/src/store/tests/prefixfollowertest.cpp
@@ -32,7 +32,7 @@
             }
         }
     }
-    void onUpToDate() override { ++this->confirmations; }
+    void onUpToDate(std::chrono::steady_clock::time_point) override { ++this->confirmations; }
     void onConnectionLost(const std::string &) override { ++this->lost; }
     void onConnectionRestored() override { ++this->restored; }
 
@@ -180,3 +180,49 @@
     loop.advance(5s);
     cr_assert(listener.values["up/a"] == "draining");
 }
+
+Test(prefixfollower, a_check_finds_changes_that_the_watch_does_not_deliver)
+{
+    // Guards against resets of flows on an upstream whose entry is stuck in a hanging watch.
+    Fixture f;
+    f.start();
+    f.store.setMode(MemoryStore::Mode::Silent);
+    f.store.put("up/a", "2");
+    f.store.setMode(MemoryStore::Mode::Serving);
+    f.loop.advance(100ms);
+    cr_assert(f.listener.values["up/a"] == "1");
+    const std::uint64_t before = f.store.calls();
+    f.follower.confirm();
+    f.loop.advance(10ms);
+    cr_assert(f.listener.values["up/a"] == "2");
+    // Requests in quick succession share one further call.
+    for (int i = 0; i < 20; ++i) {
+        f.follower.confirm();
+        f.loop.advance(10ms);
+    }
+    f.loop.advance(1s);
+    cr_assert_eq(f.store.calls() - before, 2U);
+    // The watch continues where it was and delivers no older state again.
+    f.store.put("up/a", "3");
+    f.follower.confirm();
+    f.loop.advance(25s);
+    cr_assert(f.listener.values["up/a"] == "3");
+    f.store.put("up/b", "4");
+    f.loop.advance(25s);
+    cr_assert(f.listener.values["up/b"] == "4");
+}
+
+Test(prefixfollower, a_check_without_a_response_ends_a_watch_that_may_hang_too)
+{
+    Fixture f;
+    f.start();
+    f.store.setMode(MemoryStore::Mode::Silent);
+    f.store.put("up/a", "2");
+    f.follower.confirm();
+    f.loop.advance(300ms);
+    f.store.setMode(MemoryStore::Mode::Serving);
+    f.loop.advance(1400ms);
+    cr_assert(f.listener.values["up/a"] == "2");
+    cr_assert_eq(f.listener.lost, 1);
+    cr_assert_eq(f.listener.restored, 1);
+}
--- a/src/store/types/storelisting.h
+++ b/src/store/types/storelisting.h
@@ -30,6 +30,11 @@
     //! VM last received data of the store.
     std::optional<std::chrono::milliseconds> age;
 
+    //! The response includes every change that the store accepted before this time: the time at
+    //! which the call was sent, since responses are linearizable. The epoch if the response proves
+    //! nothing.
+    std::chrono::steady_clock::time_point confirmedAt;
+
     //! Error text if there is no listing.
     std::string detail;
 };
--- a/src/upstreams/internal/upstreamupdater.cpp
+++ b/src/upstreams/internal/upstreamupdater.cpp
@@ -127,9 +127,9 @@
         LogEntry(LogKind::State, "store.lost").text("for", "upstreams").text("detail", detail));
 }
 
-void UpstreamUpdater::onUpToDate()
+void UpstreamUpdater::onUpToDate(std::chrono::steady_clock::time_point confirmedAt)
 {
-    this->registry.recordConfirmation(this->clock.now());
+    this->registry.recordConfirmation(confirmedAt);
 }
 
 void UpstreamUpdater::onConnectionRestored()
--- a/src/upstreams/iupstreamlistener.h
+++ b/src/upstreams/iupstreamlistener.h
@@ -2,6 +2,7 @@
 
 #include "upstreams/types/upstreamid.h"
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -29,8 +30,8 @@
     virtual void onUpstreamRejected(const std::string &key, UpstreamId id,
                                     const std::string &detail) = 0;
 
-    //! Called when the store has responded and all changes up to that response have been reported.
-    virtual void onUpToDate() = 0;
+    //! Called when every change that the store accepted before \a confirmedAt has been reported.
+    virtual void onUpToDate(std::chrono::steady_clock::time_point confirmedAt) = 0;
 
     virtual void onConnectionLost(const std::string &detail) = 0;
     virtual void onConnectionRestored() = 0;
--- a/src/upstreams/tests/upstreamupdatertest.cpp
+++ b/src/upstreams/tests/upstreamupdatertest.cpp
@@ -105,7 +105,8 @@
 {
     Fixture f;
     f.clock.advance(5s);
-    f.updater.onUpToDate();
+    f.updater.onUpToDate(f.clock.now());
+    f.updater.onUpToDate(f.clock.now() - 1s);
     cr_assert(f.registry.confirmedAt() == f.clock.now());
 }
 
--- a/src/upstreams/upstreamregistry.h
+++ b/src/upstreams/upstreamregistry.h
@@ -3,6 +3,7 @@
 #include "global/name.h"
 #include "upstreams/types/upstreamid.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -69,8 +70,11 @@
     void setReliable(bool isReliable) { this->reliable = isReliable; }
     bool isReliable() const { return this->reliable; }
 
-    //! Records that at \a now all changes in the store up to its last response had been received.
-    void recordConfirmation(TimePoint now) { this->confirmationTime = now; }
+    //! Records that every change that the store accepted before \a confirmed has been received.
+    void recordConfirmation(TimePoint confirmed)
+    {
+        this->confirmationTime = std::max(this->confirmationTime, confirmed);
+    }
     TimePoint confirmedAt() const { return this->confirmationTime; }
 
     std::size_t size() const { return this->records.size(); }
--- a/src/upstreams/upstreamupdater.h
+++ b/src/upstreams/upstreamupdater.h
@@ -29,7 +29,7 @@
     void onUpstreamRejected(const std::string &key, UpstreamId id,
                             const std::string &detail) override;
     void onConnectionLost(const std::string &detail) override;
-    void onUpToDate() override;
+    void onUpToDate(std::chrono::steady_clock::time_point confirmedAt) override;
     void onConnectionRestored() override;
 
     //! Marks doubtful upstreams as gone once the store has been stable for long enough; must be
--- a/tools/standins/memorystore.cpp
+++ b/tools/standins/memorystore.cpp
@@ -79,6 +79,21 @@
                      [this]() { this->notifyWatches(); });
 }
 
+void MemoryStore::readChanges(const std::string &prefix, std::uint64_t revision,
+                              ListingHandler handler)
+{
+    this->respond([this, prefix, revision, handler](StoreStatus status) {
+        if (status == StoreStatus::Ok && revision < this->oldestRevision) {
+            status = StoreStatus::Compacted;
+        }
+        StoreListing changes{.status = status, .revision = this->currentRevision};
+        if (status == StoreStatus::Ok) {
+            changes.items = this->changesAfter(prefix, revision);
+        }
+        handler(changes);
+    });
+}
+
 void MemoryStore::endWatch(std::uint64_t id)
 {
     const auto silentWatch = std::ranges::find(this->silentWatches, id, &Watch::id);
--- a/tools/standins/memorystore.h
+++ b/tools/standins/memorystore.h
@@ -29,6 +29,8 @@
               ListingHandler handler) override;
     void watch(const std::string &prefix, std::uint64_t revision, std::chrono::milliseconds wait,
                ListingHandler handler) override;
+    void readChanges(const std::string &prefix, std::uint64_t revision,
+                     ListingHandler handler) override;
     void cancel(const std::string &prefix) override;
     void grantLease(std::chrono::milliseconds timeToLive, LeaseHandler handler) override;
     void renewLease(std::uint64_t lease, LeaseHandler handler) override;
