flows: keep a SYN at the upstream that may have accepted it (FLOW)

Cause: a lost SYN+ACK made the VM give the first retransmission of the SYN to a second upstream. Both accepted, the second one's SYN+ACKs changed the client's token, and a VM without a record of the flow forwarded it there.

Change: a second upstream gets the SYN only if the first one has ended or has been silent on all flows for 0.5 s, which is the second retransmission at the earliest. A first retransmission that its upstream may not get is dropped.

--- a/src/flows/internal/openingdirector.cpp
+++ b/src/flows/internal/openingdirector.cpp
@@ -25,6 +25,10 @@
 //! reserved for flows that this VM has no record of.
 constexpr double kConnectionShare = 0.9;
 
+//! Time without a SYN+ACK after which a SYN may go to a second upstream. Until then the first one
+//! has sent its SYN+ACK more than once, so a single lost datagram doesn't explain the silence.
+constexpr std::chrono::milliseconds kMinOpeningSilence{500};
+
 //! Resets the first transmission of a SYN and drops retransmissions, since their flow may have
 //! opened through another VM and a reset would end it.
 FlowDecision refuseOpening(const FlowPacket &packet, ResultCode reason)
@@ -78,34 +82,41 @@
         this->table.recordSilence(record, record.waitingSince);
     }
     const upstreams::UpstreamRecord *upstream = this->registry.find(record.upstream);
-    if (upstream != nullptr && this->canKeepUpstream(*upstream, record, now)) {
-        if (upstream->isCold(now)) {
-            this->pacer.recordOpened(record.upstream, now);
-        }
-        return forwardTo(*upstream);
+    if (upstream == nullptr || !this->mayHaveAccepted(*upstream, record, now)) {
+        return this->place(packet, route, &record, now);
+    }
+    // If the upstream has accepted the flow, it sends its SYN+ACK again without this packet.
+    if (!this->canOpenOn(*upstream, now)) {
+        return refusePacket(FlowAction::Drop, ResultCode::FlowNoUpstream);
+    }
+    if (upstream->isCold(now)) {
+        this->pacer.recordOpened(record.upstream, now);
     }
-    return this->place(packet, route, &record, now);
+    return forwardTo(*upstream);
 }
 
-bool OpeningDirector::canKeepUpstream(const upstreams::UpstreamRecord &upstream,
+bool OpeningDirector::mayHaveAccepted(const upstreams::UpstreamRecord &upstream,
                                       const FlowRecord &record, TimePoint now) const
 {
-    if (!upstream.acceptsNewFlows() || this->routes.isEvacuated(upstream.upstream.dataCentre)) {
-        return false;
-    }
-    const bool isWithinLimit = !upstream.isCold(now)
-        || this->pacer.canOpen(record.upstream, this->warmupLimit(upstream), now);
-    if (!isWithinLimit) {
+    // Two upstreams that accept one flow both send SYN+ACKs for seconds. Each of these changes the
+    // token that the client sends, and a VM without a record of the flow then forwards it to the
+    // wrong upstream.
+    if (upstream.presence == upstreams::Presence::Gone) {
         return false;
     }
-    // Retransmissions that were queued together, for example while this VM was paused, don't show
-    // that the upstream is silent. If they went to two upstreams, both would respond.
-    if (now - record.waitingSince < kMinSilence) {
-        return true;
-    }
     // If the upstream has responded on other flows meanwhile, this SYN or its response was lost.
     const UpstreamLoad *load = this->table.findLoad(record.upstream);
-    return load != nullptr && load->lastResponse > record.waitingSince;
+    return now - record.waitingSince < kMinOpeningSilence
+        || (load != nullptr && load->lastResponse > record.waitingSince);
+}
+
+bool OpeningDirector::canOpenOn(const upstreams::UpstreamRecord &upstream, TimePoint now) const
+{
+    if (!upstream.acceptsNewFlows() || this->routes.isEvacuated(upstream.upstream.dataCentre)) {
+        return false;
+    }
+    return !upstream.isCold(now)
+        || this->pacer.canOpen(upstream.upstream.id, this->warmupLimit(upstream), now);
 }
 
 FlowDecision OpeningDirector::place(const FlowPacket &packet, const routing::Route &route,
--- a/src/flows/internal/openingdirector.h
+++ b/src/flows/internal/openingdirector.h
@@ -66,9 +66,12 @@
     int warmupLimit(const upstreams::UpstreamRecord &upstream) const;
     //! Returns true if this VM is the one that opens flows to the cold \a upstream.
     bool ownsWarmup(const upstreams::UpstreamRecord &upstream) const;
-    //! Returns true if a retransmitted SYN should go to the same \a upstream again.
-    bool canKeepUpstream(const upstreams::UpstreamRecord &upstream, const FlowRecord &record,
+    //! Returns true if \a upstream, which was sent the SYN of the flow, may have accepted the flow,
+    //! so that no other upstream may get the SYN.
+    bool mayHaveAccepted(const upstreams::UpstreamRecord &upstream, const FlowRecord &record,
                          TimePoint now) const;
+    //! Returns true if \a upstream may get a retransmitted SYN now.
+    bool canOpenOn(const upstreams::UpstreamRecord &upstream, TimePoint now) const;
 
     const routing::RouteTable &routes;
     const upstreams::UpstreamRegistry &registry;
