flows: count an upstream's silence from the first packet that it gets (FLOW)

Cause: a VM that hadn't listed the upstream yet dropped the packets, but counted their retransmissions and kept the counts when the upstream became known; the next packet was answered by a reset for silence.

Change: the wait of a flow restarts when its upstream becomes known, and flows without a known upstream count towards no silence.

--- a/src/flows/internal/openflowdirector.cpp
+++ b/src/flows/internal/openflowdirector.cpp
@@ -105,6 +105,9 @@
         tracked.upstream = this->registry.find(record.upstream);
     } else if (record.phase == FlowPhase::Open && tracked.upstream != nullptr) {
         this->table.reassign(record, tracked.upstream->upstream.id);
+        // Earlier packets were dropped, so this one is the first that the upstream gets.
+        restartWait(record, now);
+        record.highestSequence = packet.sequence - 1;
     }
     return tracked;
 }
@@ -176,7 +179,9 @@
             ++record.retransmissions;
             record.lastRetransmission = now;
         }
-        this->table.recordSilence(record, record.waitingSince);
+        if (hasUpstream(record)) {
+            this->table.recordSilence(record, record.waitingSince);
+        }
     }
     return responseTime;
 }
--- a/src/flows/tests/flowdirectortest.cpp
+++ b/src/flows/tests/flowdirectortest.cpp
@@ -342,6 +342,45 @@
     cr_assert_not(f.table.isSuspect({1}));
 }
 
+Test(flowdirector, packets_dropped_for_an_unlisted_upstream_do_not_count_as_silence)
+{
+    // Guards against resets of flows on an upstream that this VM lists later than others: it gets
+    // the packets of these flows only from then on, and clients have retransmitted them by then.
+    struct Row
+    {
+        const char *name;
+        std::chrono::milliseconds listedAt;
+    };
+    const Row rows[] = {
+        {"listed before the first retransmission", 100ms},
+        {"listed before the second one", 300ms},
+        {"listed before the third one", 700ms},
+        {"listed before the fourth one", 1500ms},
+    };
+    for (const Row &row : rows) {
+        DirectorFixture f;
+        f.add(2);
+        const auto start = f.now;
+        bool isListed = false;
+        for (const auto at : {0ms, 200ms, 600ms, 1400ms, 3000ms}) {
+            f.now = start + at;
+            if (at > row.listedAt && !isListed) {
+                f.add(77);
+                isListed = true;
+            }
+            for (std::uint16_t port = 1; port <= 5; ++port) {
+                const FlowDecision decision = f.decide(f.data(port, 77, 101));
+                cr_assert_eq(decision.action, isListed ? FlowAction::Forward : FlowAction::Drop,
+                             "%s, %ld ms", row.name, at.count());
+            }
+            cr_assert_not(f.table.isSuspect({77}), "%s, %ld ms", row.name, at.count());
+            if (isListed) {
+                break;
+            }
+        }
+    }
+}
+
 Test(flowdirector, decisions_report_opening_time_and_response_time)
 {
     DirectorFixture f;
