store: end a watch without a response within the recovery limit (EVAC, DRAIN, CONFIG)

Renewals notice only an outage that they fall into.

The stand-in store now also takes a watch that is sent into a silence, which failed after 1.5 s whatever its wait.

--- a/src/app/storeview.cpp
+++ b/src/app/storeview.cpp
@@ -14,11 +14,6 @@
 constexpr double kUpstreamBatchFraction = 0.4;
 constexpr int kOperatorBatchDivisor = 6;
 
-//! A watch waits for at most the time limit for the watched changes plus this margin. A watch whose
-//! response was lost in an outage too short for lease renewals to detect thus ends by its own
-//! timeout. After an outage the store counts as unstable for longer than this margin.
-constexpr std::chrono::milliseconds kWatchMargin{2000};
-
 //! The member list may be this old: it only determines which VM opens flows to an upstream in its
 //! warm-up, and the warm-up limits allow for two VMs that do so at once.
 constexpr std::chrono::milliseconds kMemberPollInterval{2500};
@@ -63,10 +58,10 @@
       upstreamUpdater(registry, clock, log), routingUpdater(routes, clock, log),
       upstreamListener(this->upstreamUpdater), operatorListener(this->routingUpdater),
       upstreamFollower(this->relayedStore, loop, this->upstreamListener, platform::kUpstreamPrefix,
-                       {.watchWait = settings.maxDrainDelay + kWatchMargin,
+                       {.watchWait = store::FollowerPacing::watchWaitFor(settings.maxStoreRecovery),
                         .batchDelay = upstreamBatchDelay(settings.maxDrainDelay)}),
       operatorFollower(this->relayedStore, loop, this->operatorListener, platform::kOperatorPrefix,
-                       {.watchWait = settings.maxConfigurationDelay + kWatchMargin,
+                       {.watchWait = store::FollowerPacing::watchWaitFor(settings.maxStoreRecovery),
                         .batchDelay = settings.maxConfigurationDelay / kOperatorBatchDivisor}),
       memberPoller(this->relayedStore, loop, this->leaseMembership,
                    membership::LeaseMembership::prefix(settings.dataCentre), kMemberPollInterval),
--- a/src/membership/internal/leasemembership.cpp
+++ b/src/membership/internal/leasemembership.cpp
@@ -34,8 +34,9 @@
 //! recovery is detected.
 constexpr std::chrono::milliseconds kFirstRetryInterval{500};
 constexpr std::chrono::milliseconds kMaxRetryInterval{2000};
-//! Retry interval while a relay notifies this VM of the recovery of the store.
-constexpr std::chrono::milliseconds kRelayedRetryInterval{6000};
+//! Retry interval while a relay notifies this VM of the recovery of the store. Short enough for a
+//! relay that fails before it does so.
+constexpr std::chrono::milliseconds kRelayedRetryInterval{3000};
 
 //! Covers the time that a VM with an expired lease needs to acquire a new one.
 constexpr std::chrono::milliseconds kLeaveGrace{6000};
--- a/src/membership/tests/leasemembershiptest.cpp
+++ b/src/membership/tests/leasemembershiptest.cpp
@@ -245,3 +245,21 @@
     f.loop.advance(100ms);
     cr_assert_eq(listener.restoredCount, 2);
 }
+
+Test(leasemembership, the_store_is_regained_in_time_also_if_the_live_relay_fails_before_it_says_so)
+{
+    constexpr auto kStoreRecovery = 4000ms;
+    for (auto outage = 100ms; outage <= 12000ms; outage += 100ms) {
+        Fixture f;
+        f.loop.advance(5s);
+        CountingConnectionListener listener;
+        f.a.membership.setConnectionListener(listener);
+        f.a.membership.setLiveRelay(true);
+        f.store.setMode(MemoryStore::Mode::Silent);
+        f.a.membership.suspectStore("a relay lost the store");
+        f.loop.advance(outage);
+        f.store.setMode(MemoryStore::Mode::Serving);
+        f.loop.advance(kStoreRecovery);
+        cr_assert_eq(listener.restoredCount, 1, "silent for %ld ms", outage.count());
+    }
+}
--- a/src/settings/internal/vmsettingsreader.cpp
+++ b/src/settings/internal/vmsettingsreader.cpp
@@ -6,6 +6,7 @@
 namespace radishladder::settings {
 namespace {
 constexpr std::int64_t kMaxDurationMs = 3'600'000;
+constexpr std::int64_t kMinStoreRecoveryMs = 2'000;
 constexpr std::int64_t kMaxDurationSeconds = 86'400;
 constexpr std::int64_t kMaxMemoryMb = 1'000'000;
 constexpr double kMinLinkMbps = 0.001;
@@ -24,6 +25,8 @@
         "configurationMs", 1, kMaxDurationMs, settings.maxConfigurationDelay.count()));
     settings.maxEvacuationDelay = milliseconds(
         reader.integerOr("evacuationMs", 1, kMaxDurationMs, settings.maxEvacuationDelay.count()));
+    settings.maxStoreRecovery = milliseconds(reader.integerOr(
+        "storeRecoveryMs", kMinStoreRecoveryMs, kMaxDurationMs, settings.maxStoreRecovery.count()));
     settings.maxFlowLifetime = seconds(reader.integerOr("flowMaxSeconds", 1, kMaxDurationSeconds,
                                                         settings.maxFlowLifetime.count()));
     settings.stop =
--- a/src/settings/types/vmsettings.h
+++ b/src/settings/types/vmsettings.h
@@ -49,6 +49,9 @@
     //! Longest time until an evacuated data centre gets no more packets.
     std::chrono::milliseconds maxEvacuationDelay{5000};
 
+    //! Longest time after an outage of the store, however short, until this VM has all changes.
+    std::chrono::milliseconds maxStoreRecovery{4000};
+
     //! Longest lifetime of a flow; the records of ended upstreams are kept for this long.
     std::chrono::seconds maxFlowLifetime{60};
 
--- a/src/store/istore.h
+++ b/src/store/istore.h
@@ -21,6 +21,9 @@
     using LeaseHandler = std::function<void(const StoreLease &)>;
     using StatusHandler = std::function<void(StoreStatus status, const std::string &detail)>;
 
+    //! A call to watch() that gets no response fails at most this long after its wait.
+    static constexpr std::chrono::milliseconds kMaxWatchOverrun{1000};
+
     virtual ~IStore() = default;
 
     //! Lists one page of the items under \a prefix, starting after \a afterKey.
--- a/src/store/types/followerpacing.h
+++ b/src/store/types/followerpacing.h
@@ -7,6 +7,10 @@
 //! Delays between the store calls of a follower.
 struct FollowerPacing
 {
+    //! Returns the longest watchWait with which a follower that got no response to a watch has all
+    //! changes again within \a recovery after the store responds.
+    static std::chrono::milliseconds watchWaitFor(std::chrono::milliseconds recovery);
+
     //! Longest time that one watch waits for a change.
     std::chrono::milliseconds watchWait{20000};
 
--- a/tools/standins/memorystore.h
+++ b/tools/standins/memorystore.h
@@ -73,6 +73,7 @@
     void applyChange(store::StoreItem item);
     void notifyWatches();
     void endWatch(std::uint64_t id);
+    void failSilentWatch(std::uint64_t id);
     void scheduleExpiry(std::uint64_t lease);
     std::vector<store::StoreItem> changesAfter(const std::string &prefix,
                                                std::uint64_t revision) const;
