flows: reset flows on an ended upstream only by a listing newer than their wait (FLOW)

Cause: flows on an upstream held for ended were reset at the first retransmission, without the check that unlisted upstreams get.

Change: both use the same check; a VM whose listing is too old asks the store at the first packet and forwards meanwhile.

--- a/src/flows/internal/openflowdirector.cpp
+++ b/src/flows/internal/openflowdirector.cpp
@@ -83,6 +83,8 @@
         this->table.close(*record);
     }
     FlowDecision decision = forwardTo(*upstream);
+    decision.needsConfirmation = record != nullptr
+        && upstream->presence == upstreams::Presence::Gone && !this->isConfirmedFor(*record);
     decision.openingTime = tracked.openingTime;
     decision.responseTime = responseTime;
     return decision;
@@ -197,7 +199,7 @@
     if (upstream == nullptr) {
         return this->refuseUnlisted(record, isSilent);
     }
-    if (upstream->presence == upstreams::Presence::Gone && isSilent) {
+    if (isSilent && this->hasEnded(*record, *upstream)) {
         FlowDecision decision = refusePacket(FlowAction::Reset, ResultCode::FlowUpstreamGone);
         decision.upstream = upstream->upstream.id;
         return decision;
@@ -212,10 +214,7 @@
 
 FlowDecision OpenFlowDirector::refuseUnlisted(const FlowRecord *record, bool isSilent) const
 {
-    // An upstream that isn't listed has ended, or it was added after the time until which this VM
-    // has the changes of the listing. A watch may hang meanwhile, here or at a relay.
-    const bool isConfirmed =
-        record != nullptr && this->registry.confirmedAt() >= record->waitingSince;
+    const bool isConfirmed = record != nullptr && this->isConfirmedFor(*record);
     const bool canReset = isSilent && isConfirmed && this->registry.isReliable();
     FlowDecision decision =
         refusePacket(canReset ? FlowAction::Reset : FlowAction::Drop, ResultCode::FlowTokenUnknown);
@@ -223,6 +222,19 @@
     return decision;
 }
 
+bool OpenFlowDirector::isConfirmedFor(const FlowRecord &record) const
+{
+    // An upstream that isn't listed has ended, or it was added, or added again, after the time
+    // until which this VM has all changes: watches pause, and may hang, here or at a relay.
+    return this->registry.confirmedAt() >= record.waitingSince;
+}
+
+bool OpenFlowDirector::hasEnded(const FlowRecord &record,
+                                const upstreams::UpstreamRecord &upstream) const
+{
+    return upstream.presence == upstreams::Presence::Gone && this->isConfirmedFor(record);
+}
+
 bool OpenFlowDirector::isTimedOut(const FlowPacket &packet, const FlowRecord &record,
                                   TimePoint now) const
 {
--- a/src/flows/internal/openflowdirector.h
+++ b/src/flows/internal/openflowdirector.h
@@ -58,6 +58,11 @@
     //! Returns why \a packet must not be forwarded; its reason is Ok if it may be forwarded.
     FlowDecision decideRefusal(const FlowPacket &packet, FlowRecord *record,
                                const upstreams::UpstreamRecord *upstream, TimePoint now);
+    //! Returns true if the listing of the upstreams includes all changes until the flow began to
+    //! wait.
+    bool isConfirmedFor(const FlowRecord &record) const;
+    //! Returns true if the upstream had ended when the flow began to wait.
+    bool hasEnded(const FlowRecord &record, const upstreams::UpstreamRecord &upstream) const;
     //! Refuses a packet whose token belongs to no listed upstream; resets the flow only if the
     //! store has confirmed the listing since the flow began to wait.
     FlowDecision refuseUnlisted(const FlowRecord *record, bool isSilent) const;
