upstreams: end doubtful upstreams by a listing that includes their reregistration (FLOW)

Change: doubtful upstreams end, and the listing counts as reliable, only once it includes all changes until 2.3 s after the return; the VM asks the store for it if doubtful upstreams wait.

Evidence: with the old condition the new test fails in its first row. Three older tests advance only the clock; they now also confirm the listing, as the store does.

--- a/src/app/storeview.cpp
+++ b/src/app/storeview.cpp
@@ -129,6 +129,9 @@
 void StoreView::tick()
 {
     this->upstreamUpdater.tick();
+    if (this->upstreamUpdater.needsConfirmation()) {
+        this->upstreamFollower.confirm();
+    }
     this->relayServer.tick();
     this->relayedStore.tick();
     this->leaseMembership.setLiveRelay(this->relayedStore.hasLiveRelay());
--- a/src/flows/internal/openflowdirector.cpp
+++ b/src/flows/internal/openflowdirector.cpp
@@ -215,10 +215,11 @@
 FlowDecision OpenFlowDirector::refuseUnlisted(const FlowRecord *record, bool isSilent) const
 {
     const bool isConfirmed = record != nullptr && this->isConfirmedFor(*record);
-    const bool canReset = isSilent && isConfirmed && this->registry.isReliable();
+    const bool isReliable = this->registry.isReliable();
+    const bool canReset = isSilent && isConfirmed && isReliable;
     FlowDecision decision =
         refusePacket(canReset ? FlowAction::Reset : FlowAction::Drop, ResultCode::FlowTokenUnknown);
-    decision.needsConfirmation = record != nullptr && !isConfirmed;
+    decision.needsConfirmation = record != nullptr && !(isConfirmed && isReliable);
     return decision;
 }
 
--- a/src/upstreams/internal/upstreamupdater.cpp
+++ b/src/upstreams/internal/upstreamupdater.cpp
@@ -145,12 +145,24 @@
         && (!this->unstableAt || this->clock.now() - *this->unstableAt >= kReregistrationTime);
 }
 
+bool UpstreamUpdater::includesReregistrations() const
+{
+    return !this->unstableAt
+        || this->registry.confirmedAt() >= *this->unstableAt + kReregistrationTime;
+}
+
+bool UpstreamUpdater::needsConfirmation() const
+{
+    return this->registry.hasDoubtful() && this->isStoreStable()
+        && !this->includesReregistrations();
+}
+
 void UpstreamUpdater::tick()
 {
     const auto now = this->clock.now();
-    const bool isStable = this->isStoreStable();
-    this->registry.setReliable(isStable && this->registry.isSynchronized());
-    if (this->registry.hasDoubtful() && isStable) {
+    const bool isReliable = this->isStoreStable() && this->includesReregistrations();
+    this->registry.setReliable(isReliable && this->registry.isSynchronized());
+    if (this->registry.hasDoubtful() && isReliable) {
         for (const UpstreamId id : this->registry.markDoubtfulAsGone(now)) {
             this->log.write(
                 LogEntry(LogKind::State, "upstream.ended").text("upstream", upstreamIdText(id)));
--- a/src/upstreams/tests/upstreamupdatertest.cpp
+++ b/src/upstreams/tests/upstreamupdatertest.cpp
@@ -41,6 +41,13 @@
         this->clock.advance(10s);
     }
 
+    //! The store confirms the listing, and the updater acts on it.
+    void confirm()
+    {
+        this->updater.onUpToDate(this->clock.now());
+        this->updater.tick();
+    }
+
     Presence presence(std::uint64_t id) { return this->registry.find({id})->presence; }
 };
 }
@@ -68,7 +75,7 @@
     cr_assert_eq(f.presence(1), Presence::Doubtful);
     f.updater.onUpstreamChanged(upstreamsUpTo(1)[0]);
     f.clock.advance(500ms);
-    f.updater.tick();
+    f.confirm();
     cr_assert_eq(f.presence(1), Presence::Present);
     cr_assert_eq(f.presence(2), Presence::Gone);
 }
@@ -79,7 +86,7 @@
     f.updater.onUpstreamsListed({});
     cr_assert_eq(f.presence(1), Presence::Doubtful);
     f.clock.advance(2400ms);
-    f.updater.tick();
+    f.confirm();
     cr_assert_eq(f.presence(1), Presence::Gone);
 }
 
@@ -95,7 +102,7 @@
 {
     Fixture f;
     f.clock.advance(5s);
-    f.updater.tick();
+    f.confirm();
     cr_assert(f.registry.isReliable());
     f.updater.onConnectionLost("no answer");
     cr_assert_not(f.registry.isReliable());
@@ -121,3 +128,35 @@
     f.updater.onUpstreamRemoved({5});
     cr_assert_eq(f.presence(5), Presence::Doubtful);
 }
+
+Test(upstreamupdater, doubtful_upstreams_end_only_by_a_listing_that_includes_their_reregistration)
+{
+    // Guards against a watch that pauses or hangs while upstreams write their entries again: two
+    // seconds after the recovery the entries exist, but this VM hasn't received them.
+    struct Row
+    {
+        const char *name;
+        std::chrono::milliseconds confirmedAfter; //!< relative to the recovery
+        Presence presence;
+    };
+    const Row rows[] = {
+        {"not confirmed since", -1ms, Presence::Doubtful},
+        {"confirmed while upstreams still wrote their entries", 1500ms, Presence::Doubtful},
+        {"confirmed after that", 2400ms, Presence::Gone},
+    };
+    for (const Row &row : rows) {
+        Fixture f;
+        f.updater.onConnectionLost("no response");
+        f.clock.advance(6s);
+        f.updater.onConnectionRestored();
+        const auto restoredAt = f.clock.now();
+        f.updater.onUpstreamRemoved({1});
+        f.updater.onUpToDate(restoredAt + row.confirmedAfter);
+        f.clock.advance(2500ms);
+        const bool isAwaited = row.presence == Presence::Doubtful;
+        cr_assert_eq(f.updater.needsConfirmation(), isAwaited, "%s", row.name);
+        f.updater.tick();
+        cr_assert_eq(f.presence(1), row.presence, "%s", row.name);
+        cr_assert_eq(f.registry.isReliable(), !isAwaited, "%s", row.name);
+    }
+}
--- a/src/upstreams/upstreamupdater.h
+++ b/src/upstreams/upstreamupdater.h
@@ -36,8 +36,15 @@
     //! called a few times per second.
     void tick();
 
+    //! Returns true while tick() only awaits a confirmation of the listing to mark doubtful
+    //! upstreams as gone.
+    bool needsConfirmation() const;
+
 private:
     bool isStoreStable() const;
+    //! Returns true if the listing includes all entries that were written again after the store was
+    //! last unstable.
+    bool includesReregistrations() const;
     void remove(UpstreamId id);
     void recordRemovals(std::size_t count);
 
