flows: reset flows of a removed route only by a configuration newer than the flow (FLOW)

Change: the reset needs a configuration that includes all changes until this VM first saw the flow; a VM without one forwards and asks the store.

Evidence: without the condition the new row "recorded, confirmed only until before the flow" fails.

--- a/src/app/packetpath.cpp
+++ b/src/app/packetpath.cpp
@@ -128,8 +128,9 @@
         return;
     }
     this->counters->count(decision);
-    if (decision.needsConfirmation && this->confirmationHandler) {
-        this->confirmationHandler();
+    const bool needsConfirmation = decision.needsConfirmation || decision.needsRouteConfirmation;
+    if (needsConfirmation && this->confirmationHandler) {
+        this->confirmationHandler(decision);
     }
     if (decision.action == flows::FlowAction::Reset) {
         this->reset(*packet);
--- a/src/app/packetpath.h
+++ b/src/app/packetpath.h
@@ -47,8 +47,9 @@
     bool isHealthy() const override { return this->socket != nullptr; }
     Reason lastReason() const override { return this->reason; }
 
-    //! Sets the function that is called when a decision needs the newest changes of the upstreams.
-    void setConfirmationHandler(std::function<void()> handler)
+    //! Sets the function that is called with a decision that needs the newest changes of the
+    //! upstreams or of the routes.
+    void setConfirmationHandler(std::function<void(const flows::FlowDecision &)> handler)
     {
         this->confirmationHandler = std::move(handler);
     }
@@ -75,7 +76,7 @@
     flows::FlowDirector &director;
     telemetry::IEventLog &log;
     net::Endpoint local;
-    std::function<void()> confirmationHandler;
+    std::function<void(const flows::FlowDecision &)> confirmationHandler;
     std::unique_ptr<PacketCounters> counters;
     std::unique_ptr<net::BatchSocket> socket;
     PacketBuffer packetBuffer;
--- a/src/app/storeview.cpp
+++ b/src/app/storeview.cpp
@@ -1,5 +1,6 @@
 #include "app/storeview.h"
 
+#include "flows/types/flowdecision.h"
 #include "net/ieventloop.h"
 #include "net/ihttpconnection.h"
 #include "platform/keys.h"
@@ -126,6 +127,16 @@
     this->freezePoller.start();
 }
 
+void StoreView::confirm(const flows::FlowDecision &decision)
+{
+    if (decision.needsConfirmation) {
+        this->upstreamFollower.confirm();
+    }
+    if (decision.needsRouteConfirmation) {
+        this->operatorFollower.confirm();
+    }
+}
+
 void StoreView::tick()
 {
     this->upstreamUpdater.tick();
--- a/src/app/storeview.h
+++ b/src/app/storeview.h
@@ -20,6 +20,9 @@
 namespace radishladder {
 class IClock;
 }
+namespace radishladder::flows {
+struct FlowDecision;
+}
 namespace radishladder::net {
 class IEventLoop;
 class IHttpConnection;
@@ -64,8 +67,8 @@
     //! Ends this VM's membership; called before a planned stop.
     void leave() { this->leaseMembership.leave(); }
 
-    //! Requests the newest changes of the upstreams from the store.
-    void confirmUpstreams() { this->upstreamFollower.confirm(); }
+    //! Requests the newest changes that \a decision needs from the store.
+    void confirm(const flows::FlowDecision &decision);
 
     const membership::IMembership &membership() const { return this->leaseMembership; }
     distribution::RelayServer &relay() { return this->relayServer; }
--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -148,7 +148,8 @@
     }
     this->storeView.start(
         [this](bool isConnected) { this->readiness.setStoreConnected(isConnected); });
-    this->packetPath.setConfirmationHandler([this]() { this->storeView.confirmUpstreams(); });
+    this->packetPath.setConfirmationHandler(
+        [this](const flows::FlowDecision &decision) { this->storeView.confirm(decision); });
     this->watchSignals();
     this->loop.every(kTickInterval, [this]() { this->tick(); });
     this->log.write(LogEntry(LogKind::State, "process.started")
--- a/src/flows/internal/flowtable.cpp
+++ b/src/flows/internal/flowtable.cpp
@@ -37,6 +37,7 @@
     FlowRecord &record = this->records[key];
     record.upstream = upstream;
     record.phase = phase;
+    record.recordedAt = now;
     record.lastPacket = now;
     record.waitingSince = now;
     ++this->findOrCreateLoad(upstream).openFlows;
--- a/src/flows/internal/openflowdirector.cpp
+++ b/src/flows/internal/openflowdirector.cpp
@@ -85,6 +85,7 @@
     FlowDecision decision = forwardTo(*upstream);
     decision.needsConfirmation = record != nullptr
         && upstream->presence == upstreams::Presence::Gone && !this->isConfirmedFor(*record);
+    decision.needsRouteConfirmation = this->routes.wasRemoved(packet.flow.service);
     decision.openingTime = tracked.openingTime;
     decision.responseTime = responseTime;
     return decision;
@@ -192,7 +193,7 @@
                                              const upstreams::UpstreamRecord *upstream,
                                              TimePoint now)
 {
-    if (this->routes.wasRemoved(packet.flow.service)) {
+    if (this->routes.wasRemoved(packet.flow.service) && this->isRemovalConfirmed(packet, record)) {
         return refusePacket(FlowAction::Reset, ResultCode::FlowRouteRemoved);
     }
     const bool isSilent = record != nullptr && record->retransmissions > 0 && !packet.isRst;
@@ -223,6 +224,17 @@
     return decision;
 }
 
+bool OpenFlowDirector::isRemovalConfirmed(const FlowPacket &packet, const FlowRecord *record) const
+{
+    if (packet.token == 0) {
+        // Packets of open flows have a token.
+        return true;
+    }
+    // Another VM may have opened the flow on a route that was added again, which this VM has not
+    // received yet.
+    return record != nullptr && this->routes.confirmedAt() >= record->recordedAt;
+}
+
 bool OpenFlowDirector::isConfirmedFor(const FlowRecord &record) const
 {
     // An upstream that isn't listed has ended, or it was added, or added again, after the time
--- a/src/flows/internal/openflowdirector.h
+++ b/src/flows/internal/openflowdirector.h
@@ -58,6 +58,8 @@
     //! Returns why \a packet must not be forwarded; its reason is Ok if it may be forwarded.
     FlowDecision decideRefusal(const FlowPacket &packet, FlowRecord *record,
                                const upstreams::UpstreamRecord *upstream, TimePoint now);
+    //! Returns true if the route of \a packet was removed after its flow opened.
+    bool isRemovalConfirmed(const FlowPacket &packet, const FlowRecord *record) const;
     //! Returns true if the listing of the upstreams includes all changes until the flow began to
     //! wait.
     bool isConfirmedFor(const FlowRecord &record) const;
--- a/src/flows/tests/flowdirectortest.cpp
+++ b/src/flows/tests/flowdirectortest.cpp
@@ -124,15 +124,49 @@
 
 Test(flowdirector, only_flows_of_a_removed_route_are_reset)
 {
-    DirectorFixture f;
-    f.add(1);
-    f.decide(f.syn(1));
-    f.decide(f.data(1, 1, 101));
-    f.configure(2, {90});
-    cr_assert_eq(f.decide(f.data(1, 1, 301)).reason, ResultCode::FlowRouteRemoved);
-    FlowPacket unlisted = f.data(2, 1, 101);
-    unlisted.flow.service.port = 99;
-    cr_assert_eq(f.decide(unlisted).action, FlowAction::Forward);
+    // Guards against resets of flows on a route that was removed and added again, by a VM that has
+    // received only the removal.
+    struct Row
+    {
+        const char *name;
+        bool isRecorded; //!< this VM forwarded the flow before the removal
+        std::chrono::milliseconds confirmedAfter; //!< relative to the last packet before the check
+        FlowAction action;
+    };
+    const Row rows[] = {
+        {"recorded, confirmed by the call that brought the removal", true, 0ms, FlowAction::Reset},
+        {"recorded, confirmed only until before the flow", true, -2s, FlowAction::Forward},
+        {"first packet here, not confirmed since", false, -1ms, FlowAction::Forward},
+        {"first packet here, confirmed since", false, 4ms, FlowAction::Reset},
+    };
+    for (const Row &row : rows) {
+        DirectorFixture f;
+        f.add(1);
+        if (row.isRecorded) {
+            f.decide(f.syn(1));
+            f.now += 50ms;
+            f.decide(f.data(1, 1, 101));
+        }
+        f.configure(2, {90});
+        if (!row.isRecorded) {
+            const FlowDecision first = f.decide(f.data(1, 1, 101));
+            cr_assert_eq(first.action, FlowAction::Forward, "%s", row.name);
+            cr_assert(first.needsRouteConfirmation, "%s", row.name);
+        }
+        f.routes.recordConfirmation(f.now + row.confirmedAfter);
+        f.now += 50ms;
+        const FlowDecision decision = f.decide(f.data(1, 1, 301));
+        cr_assert_eq(decision.action, row.action, "%s", row.name);
+        const bool isReset = row.action == FlowAction::Reset;
+        cr_assert_eq(decision.reason, isReset ? ResultCode::FlowRouteRemoved : ResultCode::Ok);
+        cr_assert_eq(decision.needsRouteConfirmation, !isReset, "%s", row.name);
+        FlowPacket unlisted = f.data(2, 1, 101);
+        unlisted.flow.service.port = 99;
+        cr_assert_eq(f.decide(unlisted).action, FlowAction::Forward, "%s", row.name);
+        FlowPacket withoutToken = f.data(3, 1, 101);
+        withoutToken.token = 0;
+        cr_assert_eq(f.decide(withoutToken).action, FlowAction::Reset, "%s", row.name);
+    }
 }
 
 Test(flowdirector, an_evacuated_data_centre_gets_no_packets_after_the_grace_period)
--- a/src/flows/types/flowdecision.h
+++ b/src/flows/types/flowdecision.h
@@ -42,9 +42,10 @@
     //! forwarded.
     std::optional<std::chrono::milliseconds> responseTime;
 
-    //! Whether the packet is refused depends on what the store has accepted since the flow began to
-    //! wait, which this VM should find out now.
+    //! Whether the packet is refused depends on the newest changes of the upstreams, or of the
+    //! routes, which this VM should request now.
     bool needsConfirmation = false;
+    bool needsRouteConfirmation = false;
 
     //! The packet is a retransmitted SYN whose earlier transmissions went to another upstream.
     bool isPlacedAgain = false;
--- a/src/flows/types/flowrecord.h
+++ b/src/flows/types/flowrecord.h
@@ -30,6 +30,8 @@
     std::uint32_t highestSequence = 0;
     std::uint32_t acknowledged = 0;
 
+    //! When this VM received the first packet of the flow.
+    std::chrono::steady_clock::time_point recordedAt;
     std::chrono::steady_clock::time_point lastPacket;
 
     //! When the packet that awaits a response was first forwarded; if none does, when the last
--- a/src/routing/internal/routingupdater.cpp
+++ b/src/routing/internal/routingupdater.cpp
@@ -54,6 +54,11 @@
     }
 }
 
+void RoutingUpdater::onUpToDate(std::chrono::steady_clock::time_point confirmedAt)
+{
+    this->table.recordConfirmation(confirmedAt);
+}
+
 void RoutingUpdater::onEvacuated(const DataCentreName &dataCentre)
 {
     if (this->table.evacuate(dataCentre, this->clock.now())) {
--- a/src/routing/iroutinglistener.h
+++ b/src/routing/iroutinglistener.h
@@ -2,6 +2,7 @@
 
 #include "global/name.h"
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,9 @@
     //! Called with the complete list of evacuated data centres; all others are in service.
     virtual void onEvacuations(const std::vector<DataCentreName> &evacuated) = 0;
 
+    //! Called when every change that the store accepted before \a confirmedAt has been reported.
+    virtual void onUpToDate(std::chrono::steady_clock::time_point confirmedAt) = 0;
+
     virtual void onEvacuated(const DataCentreName &dataCentre) = 0;
     virtual void onEvacuationEnded(const DataCentreName &dataCentre) = 0;
 };
--- a/src/routing/routetable.h
+++ b/src/routing/routetable.h
@@ -5,6 +5,7 @@
 #include "routing/types/route.h"
 #include "routing/types/servicelimits.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <unordered_map>
@@ -30,6 +31,13 @@
     //! none.
     bool wasRemoved(const net::Endpoint &address) const;
 
+    //! Records that every change that the store accepted before \a confirmed has been received.
+    void recordConfirmation(TimePoint confirmed)
+    {
+        this->confirmationTime = std::max(this->confirmationTime, confirmed);
+    }
+    TimePoint confirmedAt() const { return this->confirmationTime; }
+
     //! Returns the default limits if the configuration has none for \a service.
     ServiceLimits limits(const ServiceName &service) const;
 
@@ -65,6 +73,7 @@
     };
 
     std::uint64_t currentVersion = 0;
+    TimePoint confirmationTime;
     std::chrono::milliseconds currentIdleTimeout{15000};
     std::unordered_map<net::Endpoint, Route, EndpointHash> routes;
     std::unordered_set<net::Endpoint, EndpointHash> removedAddresses;
--- a/src/routing/routingupdater.h
+++ b/src/routing/routingupdater.h
@@ -21,6 +21,7 @@
     void onConfiguration(Configuration configuration) override;
     void onConfigurationRejected(const std::string &detail) override;
     void onEvacuations(const std::vector<DataCentreName> &evacuated) override;
+    void onUpToDate(std::chrono::steady_clock::time_point confirmedAt) override;
     void onEvacuated(const DataCentreName &dataCentre) override;
     void onEvacuationEnded(const DataCentreName &dataCentre) override;
 
