upstreams: assign a shared token to the same upstream on all VMs (FLOW)

Cause: an ended upstream kept the token on VMs that remembered it, and among live ones the creation revision of the entries decided, which changes when an entry is written again.

Change: live upstreams come first, then the earlier start that the entries state, then the lower identifier. Upstream::createdRevision, with no reader left, goes.

The test that it replaces took the creation revision for the age.

--- a/src/flows/tests/directorfixture.h
+++ b/src/flows/tests/directorfixture.h
@@ -50,8 +50,7 @@
                                      .service = ServiceName(service),
                                      .dataCentre = DataCentreName(dataCentre),
                                      .address = {static_cast<std::uint32_t>(id), 8000},
-                                     .slots = this->slots,
-                                     .createdRevision = id};
+                                     .slots = this->slots};
         this->registry.update(upstream, this->now);
         return upstream;
     }
--- a/src/upstreams/internal/upstreamregistry.cpp
+++ b/src/upstreams/internal/upstreamregistry.cpp
@@ -3,6 +3,7 @@
 #include "upstreams/types/upstreamrecord.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace radishladder::upstreams {
 UpstreamRegistry::UpstreamRegistry(std::chrono::milliseconds goneRetention)
@@ -28,6 +29,7 @@
     record.receivedAt = now;
     record.warmAt = now + upstream.warmupLeft;
     this->setPresence(record, Presence::Present, now);
+    this->assignToken(flowToken(upstream.id));
 }
 
 void UpstreamRegistry::insert(const Upstream &upstream, TimePoint now)
@@ -37,22 +39,25 @@
     record->presenceSince = now;
     record->receivedAt = now;
     record->warmAt = now + upstream.warmupLeft;
-    this->claimToken(*record);
+    const std::uint32_t token = flowToken(upstream.id);
+    this->tokens[token].push_back(record.get());
+    this->assignToken(token);
     this->services[upstream.service].push_back(record.get());
     this->records.emplace(upstream.id, std::move(record));
 }
 
-void UpstreamRegistry::claimToken(UpstreamRecord &record)
+void UpstreamRegistry::assignToken(std::uint32_t token)
 {
-    UpstreamRecord *&holder = this->tokens[flowToken(record.upstream.id)];
-    const bool isOldest =
-        holder == nullptr || record.upstream.createdRevision < holder->upstream.createdRevision;
-    record.hasTokenConflict = !isOldest;
-    if (isOldest) {
-        if (holder != nullptr) {
-            holder->hasTokenConflict = true;
-        }
-        holder = &record;
+    std::vector<UpstreamRecord *> &holders = this->tokens[token];
+    // All VMs with the same listing choose the same upstream, whenever they started: an ended one,
+    // which only some of them remember, comes last, and no part of the order changes when an entry
+    // lapses and is written again.
+    std::ranges::sort(holders, {}, [](const UpstreamRecord *record) {
+        return std::tuple(record->presence == Presence::Gone, record->upstream.incarnation,
+                          record->upstream.id.value);
+    });
+    for (UpstreamRecord *record : holders) {
+        record->hasTokenConflict = record != holders.front();
     }
 }
 
@@ -88,6 +93,7 @@
     this->doubtfulCount -= record.presence == Presence::Doubtful ? 1 : 0;
     record.presence = next;
     record.presenceSince = now;
+    this->assignToken(flowToken(record.upstream.id));
 }
 
 void UpstreamRegistry::sweep(TimePoint now)
@@ -121,14 +127,11 @@
 void UpstreamRegistry::releaseToken(const UpstreamRecord &record)
 {
     const std::uint32_t token = flowToken(record.upstream.id);
-    if (this->tokens[token] != &record) {
-        return;
-    }
-    this->tokens.erase(token);
-    for (const auto &[id, other] : this->records) {
-        if (other.get() != &record && flowToken(id) == token) {
-            this->claimToken(*other);
-        }
+    std::erase(this->tokens[token], &record);
+    if (this->tokens[token].empty()) {
+        this->tokens.erase(token);
+    } else {
+        this->assignToken(token);
     }
 }
 
@@ -141,7 +144,7 @@
 const UpstreamRecord *UpstreamRegistry::findByToken(std::uint32_t token) const
 {
     const auto found = this->tokens.find(token);
-    return found == this->tokens.end() ? nullptr : found->second;
+    return found == this->tokens.end() ? nullptr : found->second.front();
 }
 
 const std::vector<UpstreamRecord *> &UpstreamRegistry::findByService(
--- a/src/upstreams/tests/upstreamregistrytest.cpp
+++ b/src/upstreams/tests/upstreamregistrytest.cpp
@@ -13,12 +13,9 @@
 namespace {
 const UpstreamRegistry::TimePoint kStart{std::chrono::hours(1)};
 
-Upstream upstream(std::uint64_t id, const char *service = "portal", std::uint64_t created = 1)
+Upstream upstream(std::uint64_t id, const char *service = "portal")
 {
-    return {.id = {id},
-            .service = ServiceName(service),
-            .dataCentre = DataCentreName("obuda"),
-            .createdRevision = created};
+    return {.id = {id}, .service = ServiceName(service), .dataCentre = DataCentreName("obuda")};
 }
 
 //! Returns two identifiers with the same token, found by trying consecutive identifiers.
@@ -86,22 +83,49 @@
     cr_assert(registry.findByService(ServiceName("portal")).empty());
 }
 
-Test(upstreamregistry, of_two_upstreams_with_the_same_token_the_older_accepts_new_flows)
+Test(upstreamregistry, all_vms_assign_a_token_to_the_same_of_two_upstreams)
 {
+    // Guards against resets of flows by a VM that assigns the token to another upstream, because it
+    // started later, or received the entries in another order.
     const auto [first, second] = collidingPair();
-    for (const bool olderFirst : {true, false}) {
+    Upstream older = upstream(first);
+    older.incarnation = 100;
+    Upstream younger = upstream(second);
+    younger.incarnation = 200;
+    const Upstream olderWrittenAgain = older;
+    struct Row
+    {
+        const char *name;
+        std::vector<Upstream> received;
+        bool isOlderRemoved;
+        std::uint64_t holder;
+    };
+    const Row rows[] = {
+        {"older received first", {older, younger}, false, first},
+        {"younger received first", {younger, older}, false, first},
+        {"entry of the older written again", {older, younger, olderWrittenAgain}, false, first},
+        {"younger known before that", {younger, olderWrittenAgain}, false, first},
+        {"older has ended, and this VM remembers it", {older, younger}, true, second},
+        {"this VM never knew the older one", {younger}, false, second},
+    };
+    for (const Row &row : rows) {
         UpstreamRegistry registry(60s);
-        const Upstream older = upstream(first, "portal", 5);
-        const Upstream younger = upstream(second, "portal", 9);
-        registry.update(olderFirst ? older : younger, kStart);
-        registry.update(olderFirst ? younger : older, kStart);
-        cr_assert(registry.find({first})->acceptsNewFlows());
-        cr_assert_not(registry.find({second})->acceptsNewFlows());
-        cr_assert_eq(registry.findByToken(flowToken({first}))->upstream.id.value, first);
-        registry.remove({first}, true, kStart);
+        for (const Upstream &entry : row.received) {
+            registry.update(entry, kStart);
+        }
+        if (row.isOlderRemoved) {
+            registry.remove({first}, true, kStart);
+        }
+        const UpstreamRecord *holder = registry.findByToken(flowToken({first}));
+        cr_assert_eq(holder->upstream.id.value, row.holder, "%s", row.name);
+        for (const std::uint64_t id : {first, second}) {
+            const UpstreamRecord *record = registry.find({id});
+            const bool isHolder = id == row.holder;
+            cr_assert(record == nullptr || record->acceptsNewFlows() == isHolder, "%s", row.name);
+        }
         registry.sweep(kStart + 61s);
-        cr_assert(registry.find({second})->acceptsNewFlows());
-        cr_assert_eq(registry.findByToken(flowToken({first}))->upstream.id.value, second);
+        cr_assert_eq(registry.findByToken(flowToken({first}))->upstream.id.value, row.holder, "%s",
+                     row.name);
     }
 }
 
--- a/src/upstreams/types/upstream.h
+++ b/src/upstreams/types/upstream.h
@@ -29,13 +29,10 @@
     //! load; 0 when warm.
     std::chrono::milliseconds warmupLeft{0};
 
-    //! Opaque value that differs between starts of an upstream under the same identifier.
+    //! Value that differs between starts of an upstream under the same identifier; of upstreams
+    //! whose tokens collide, the one with the lowest value keeps the token.
     std::int64_t incarnation = 0;
 
-    //! Store revision at which the entry was created; of upstreams whose tokens collide, the one
-    //! with the lower revision keeps the token.
-    std::uint64_t createdRevision = 0;
-
     bool operator==(const Upstream &) const = default;
 };
 }
--- a/src/upstreams/upstreamregistry.h
+++ b/src/upstreams/upstreamregistry.h
@@ -82,10 +82,8 @@
 
 private:
     void insert(const Upstream &upstream, TimePoint now);
-    //! Assigns the token of \a record to it, unless an upstream that was created no later holds it.
-    void claimToken(UpstreamRecord &record);
-    //! Passes the token of \a record, if it holds the token, to the oldest other upstream with the
-    //! same token.
+    //! Assigns \a token to one of the upstreams that have it.
+    void assignToken(std::uint32_t token);
     void releaseToken(const UpstreamRecord &record);
     void setPresence(UpstreamRecord &record, Presence next, TimePoint now);
     void erase(UpstreamId id);
@@ -96,7 +94,9 @@
     bool reliable = false;
     TimePoint confirmationTime;
     std::unordered_map<UpstreamId, std::unique_ptr<UpstreamRecord>> records;
-    std::unordered_map<std::uint32_t, UpstreamRecord *> tokens;
+
+    //! Records by token; the first one of each token holds it.
+    std::unordered_map<std::uint32_t, std::vector<UpstreamRecord *>> tokens;
     std::unordered_map<ServiceName, std::vector<UpstreamRecord *>> services;
 };
 }
