flows: ask for no confirmation of an ended upstream that still responds

Change: the store is asked at a retransmission, or while the upstream hasn't responded since its entry went.

Evidence: the new test fails if responses are ignored.

--- a/src/flows/internal/openflowdirector.cpp
+++ b/src/flows/internal/openflowdirector.cpp
@@ -83,8 +83,7 @@
         this->table.close(*record);
     }
     FlowDecision decision = forwardTo(*upstream);
-    decision.needsConfirmation = record != nullptr
-        && upstream->presence == upstreams::Presence::Gone && !this->isConfirmedFor(*record);
+    decision.needsConfirmation = record != nullptr && this->isEndUncertain(*record, *upstream);
     decision.needsRouteConfirmation = this->routes.wasRemoved(packet.flow.service);
     decision.openingTime = tracked.openingTime;
     decision.responseTime = responseTime;
@@ -248,6 +247,19 @@
     return upstream.presence == upstreams::Presence::Gone && this->isConfirmedFor(record);
 }
 
+bool OpenFlowDirector::isEndUncertain(const FlowRecord &record,
+                                      const upstreams::UpstreamRecord &upstream) const
+{
+    if (upstream.presence != upstreams::Presence::Gone || this->isConfirmedFor(record)) {
+        return false;
+    }
+    // Load pattern: upstreams lose the store, not their clients, and respond on many flows, which
+    // need no confirmation until one gets no response.
+    const UpstreamLoad *load = this->table.findLoad(record.upstream);
+    const bool isResponding = load != nullptr && load->lastResponse > upstream.presenceSince;
+    return record.retransmissions > 0 || !isResponding;
+}
+
 bool OpenFlowDirector::isTimedOut(const FlowPacket &packet, const FlowRecord &record,
                                   TimePoint now) const
 {
--- a/src/flows/internal/openflowdirector.h
+++ b/src/flows/internal/openflowdirector.h
@@ -65,6 +65,9 @@
     bool isConfirmedFor(const FlowRecord &record) const;
     //! Returns true if the upstream had ended when the flow began to wait.
     bool hasEnded(const FlowRecord &record, const upstreams::UpstreamRecord &upstream) const;
+    //! Returns true if \a upstream is held for ended by a listing that is too old for a reset of
+    //! the flow, and has not responded since.
+    bool isEndUncertain(const FlowRecord &record, const upstreams::UpstreamRecord &upstream) const;
     //! Refuses a packet whose token belongs to no listed upstream; resets the flow only if the
     //! store has confirmed the listing since the flow began to wait.
     FlowDecision refuseUnlisted(const FlowRecord *record, bool isSilent) const;
--- a/src/flows/tests/flowdirectortest.cpp
+++ b/src/flows/tests/flowdirectortest.cpp
@@ -122,6 +122,27 @@
     }
 }
 
+Test(flowdirector, flows_on_a_responding_upstream_without_an_entry_need_no_confirmation)
+{
+    // Load pattern: upstreams lose the store, not their clients; their entries lapse, and every
+    // request on their flows would cost a call to the store.
+    DirectorFixture f;
+    f.add(1);
+    f.decide(f.syn(1));
+    f.decide(f.data(1, 1, 101));
+    f.registry.remove({1}, true, f.now);
+    f.now += 50ms;
+    cr_assert_not(f.decide(f.data(1, 1, 301, 600)).needsConfirmation);
+    for (std::uint32_t i = 2; i < 20; ++i) {
+        f.now += 100ms;
+        const FlowDecision decision = f.decide(f.data(1, 1, 101 + i * 200, 500 + i * 100));
+        cr_assert_eq(decision.action, FlowAction::Forward);
+        cr_assert_not(decision.needsConfirmation);
+    }
+    f.now += 200ms;
+    cr_assert(f.decide(f.data(1, 1, 101 + 19 * 200, 500 + 19 * 100)).needsConfirmation);
+}
+
 Test(flowdirector, only_flows_of_a_removed_route_are_reset)
 {
     // Guards against resets of flows on a route that was removed and added again, by a VM that has
