--- a/src/app/packetpath.cpp
+++ b/src/app/packetpath.cpp
@@ -180,6 +180,7 @@
         this->director.decisionInputs(decision.upstream, this->batchTime);
     entry.number("configuration", static_cast<std::int64_t>(decisionInputs.configurationVersion))
         .duration("entry_age_ms", decisionInputs.entryAge)
+        .duration("listing_age_ms", decisionInputs.listingAge)
         .duration("answer_age_ms", decisionInputs.responseAge)
         .number("open_flows", decisionInputs.openFlows)
         .number("busy_flows", decisionInputs.busyFlows)
--- a/src/flows/internal/flowdirector.cpp
+++ b/src/flows/internal/flowdirector.cpp
@@ -44,7 +44,9 @@
 {
     using std::chrono::duration_cast;
     using std::chrono::milliseconds;
-    DecisionInputs decisionInputs{.configurationVersion = this->routes.version()};
+    DecisionInputs decisionInputs{
+        .configurationVersion = this->routes.version(),
+        .listingAge = duration_cast<milliseconds>(now - this->registry.confirmedAt())};
     const upstreams::UpstreamRecord *record = this->registry.find(upstream);
     if (record != nullptr) {
         decisionInputs.entryAge = duration_cast<milliseconds>(now - record->receivedAt);
--- a/src/flows/types/decisioninputs.h
+++ b/src/flows/types/decisioninputs.h
@@ -14,6 +14,9 @@
     //! Time since the upstream's store entry was last received.
     std::chrono::milliseconds entryAge{0};
 
+    //! Age of the listing of the upstreams: it includes all changes until this long ago.
+    std::chrono::milliseconds listingAge{0};
+
     //! Time since the upstream last responded on a flow of this VM; negative if it never did.
     std::chrono::milliseconds responseAge{-1};
 
