distribution: let relays serve by the age of their own confirmation

A relay stopped serving a prefix as soon as a watch of it failed, and its followers, up to 16, all watched at the store until it had recovered, which takes it 0.1 s.

Change: a relay serves while its confirmation of the prefix is at most 12 s old, longer than two watches, the second without a response. Followers know its age, so nothing rests on it; its own watch is repeated within storeRecoveryMs.

--- a/src/distribution/changecache.h
+++ b/src/distribution/changecache.h
@@ -58,10 +58,6 @@
     void addChanges(const std::string &prefix, std::uint64_t after,
                     const store::StoreListing &changes, BootTime confirmedAt);
 
-    //! Records that a watch of \a prefix at the store has failed: changes may be missing until the
-    //! next response for \a prefix.
-    void recordFailedWatch(const std::string &prefix);
-
     //! Adds a page of the store's listing of \a prefix. A prefix listed by a linearizable read is
     //! watched next, so this VM can serve its changes to peers from then on; the listing includes
     //! every change until \a confirmedAt.
@@ -99,8 +95,7 @@
     std::map<std::string, ChangeLog> logs;
     std::map<std::string, PrefixSnapshot> snapshots;
 
-    //! Watched prefixes for which the store has not responded since it was last lost or since their
-    //! watch failed.
+    //! Watched prefixes for which the store has not responded since it was last lost.
     std::set<std::string> unconfirmed;
 
     //! Time of the store's last response to a listing, by prefix.
--- a/src/distribution/internal/changecache.cpp
+++ b/src/distribution/internal/changecache.cpp
@@ -12,6 +12,9 @@
 //! while nothing changes.
 constexpr std::chrono::milliseconds kMaxResponseAge{2600};
 
+//! Longer than two watches with the longest wait, the second of which got no response.
+constexpr std::chrono::milliseconds kMaxConfirmationAge{12000};
+
 //! Longer than the interval between two listings of a prefix that is listed periodically.
 constexpr std::chrono::milliseconds kMaxPolledAge{6000};
 }
@@ -69,12 +72,6 @@
     }
 }
 
-void ChangeCache::recordFailedWatch(const std::string &prefix)
-{
-    this->unconfirmed.insert(prefix);
-    this->notifyListener();
-}
-
 void ChangeCache::addPage(const std::string &prefix, store::ReadKind kind,
                           const std::string &afterKey, const store::StoreListing &page,
                           BootTime confirmedUntil, BootTime now)
@@ -131,8 +128,9 @@
 
 bool ChangeCache::canServeChanges(const std::string &prefix, BootTime now) const
 {
+    // Responses to other calls don't show that the watch of this prefix still works.
     return this->logs.contains(prefix) && !this->unconfirmed.contains(prefix)
-        && this->isConnected(now);
+        && this->isConnected(now) && this->ageOf(prefix, now) <= kMaxConfirmationAge;
 }
 
 bool ChangeCache::wasListedRecently(const std::string &prefix, BootTime now) const
--- a/src/distribution/internal/relayedstore.cpp
+++ b/src/distribution/internal/relayedstore.cpp
@@ -252,8 +252,6 @@
                               this->cache.recordResponse(this->clock.timeSinceBoot());
                               this->cache.addChanges(watch.prefix, watch.revision, response,
                                                      sent.boot);
-                          } else {
-                              this->cache.recordFailedWatch(watch.prefix);
                           }
                           store::StoreListing confirmed = response;
                           confirmed.confirmedAt = sent.steady;
