flows: split the tests of the director by what they guard

Change: resets that rest on a listing and those that rest on silence have files of their own; every test moves as it is.

--- /dev/null
+++ b/src/flows/tests/listingresettest.cpp
@@ -0,0 +1,152 @@
+#include "directorfixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace radishladder;
+using namespace radishladder::flows;
+using namespace std::chrono_literals;
+
+Test(flowdirector, a_flow_on_an_ended_upstream_is_reset_only_when_it_gets_no_response)
+{
+    // Guards against resets of flows on an upstream that has started again under its identifier,
+    // by a VM that still holds it for ended.
+    struct Row
+    {
+        const char *name;
+        std::chrono::milliseconds confirmedAfter; //!< relative to the first packet
+        bool startsAgain;
+        FlowAction action;
+    };
+    const Row rows[] = {
+        {"confirmed since", 4ms, false, FlowAction::Reset},
+        {"confirmed until just before the first packet", -1ms, false, FlowAction::Forward},
+        {"started again, and this VM knows", 4ms, true, FlowAction::Forward},
+    };
+    for (const Row &row : rows) {
+        DirectorFixture f;
+        f.add(1);
+        f.registry.remove({1}, true, f.now);
+        f.now += 2s;
+        const FlowDecision first = f.decide(f.data(1, 1, 101));
+        cr_assert_eq(first.action, FlowAction::Forward, "%s", row.name);
+        cr_assert(first.needsConfirmation, "%s", row.name);
+        f.registry.recordConfirmation(f.now + row.confirmedAfter);
+        if (row.startsAgain) {
+            f.add(1);
+        }
+        f.now += 200ms;
+        const FlowDecision afterRetransmission = f.decide(f.data(1, 1, 101));
+        cr_assert_eq(afterRetransmission.action, row.action, "%s", row.name);
+        cr_assert_eq(afterRetransmission.reason,
+                     row.action == FlowAction::Reset ? ResultCode::FlowUpstreamGone
+                                                     : ResultCode::Ok,
+                     "%s", row.name);
+        cr_assert_eq(afterRetransmission.needsConfirmation, row.confirmedAfter < 0ms, "%s",
+                     row.name);
+    }
+}
+
+Test(flowdirector, flows_on_a_responding_upstream_without_an_entry_need_no_confirmation)
+{
+    // Load pattern: upstreams lose the store, not their clients; their entries lapse, and every
+    // request on their flows would cost a call to the store.
+    DirectorFixture f;
+    f.add(1);
+    f.decide(f.syn(1));
+    f.decide(f.data(1, 1, 101));
+    f.registry.remove({1}, true, f.now);
+    f.now += 50ms;
+    cr_assert_not(f.decide(f.data(1, 1, 301, 600)).needsConfirmation);
+    for (std::uint32_t i = 2; i < 20; ++i) {
+        f.now += 100ms;
+        const FlowDecision decision = f.decide(f.data(1, 1, 101 + i * 200, 500 + i * 100));
+        cr_assert_eq(decision.action, FlowAction::Forward);
+        cr_assert_not(decision.needsConfirmation);
+    }
+    f.now += 200ms;
+    cr_assert(f.decide(f.data(1, 1, 101 + 19 * 200, 500 + 19 * 100)).needsConfirmation);
+}
+
+Test(flowdirector, only_flows_of_a_removed_route_are_reset)
+{
+    // Guards against resets of flows on a route that was removed and added again, by a VM that has
+    // received only the removal.
+    struct Row
+    {
+        const char *name;
+        bool isRecorded; //!< this VM forwarded the flow before the removal
+        std::chrono::milliseconds confirmedAfter; //!< relative to the last packet before the check
+        FlowAction action;
+    };
+    const Row rows[] = {
+        {"recorded, confirmed by the call that brought the removal", true, 0ms, FlowAction::Reset},
+        {"recorded, confirmed only until before the flow", true, -2s, FlowAction::Forward},
+        {"first packet here, not confirmed since", false, -1ms, FlowAction::Forward},
+        {"first packet here, confirmed since", false, 4ms, FlowAction::Reset},
+    };
+    for (const Row &row : rows) {
+        DirectorFixture f;
+        f.add(1);
+        if (row.isRecorded) {
+            f.decide(f.syn(1));
+            f.now += 50ms;
+            f.decide(f.data(1, 1, 101));
+        }
+        f.configure(2, {90});
+        if (!row.isRecorded) {
+            const FlowDecision first = f.decide(f.data(1, 1, 101));
+            cr_assert_eq(first.action, FlowAction::Forward, "%s", row.name);
+            cr_assert(first.needsRouteConfirmation, "%s", row.name);
+        }
+        f.routes.recordConfirmation(f.now + row.confirmedAfter);
+        f.now += 50ms;
+        const FlowDecision decision = f.decide(f.data(1, 1, 301));
+        cr_assert_eq(decision.action, row.action, "%s", row.name);
+        const bool isReset = row.action == FlowAction::Reset;
+        cr_assert_eq(decision.reason, isReset ? ResultCode::FlowRouteRemoved : ResultCode::Ok);
+        cr_assert_eq(decision.needsRouteConfirmation, !isReset, "%s", row.name);
+        FlowPacket unlisted = f.data(2, 1, 101);
+        unlisted.flow.service.port = 99;
+        cr_assert_eq(f.decide(unlisted).action, FlowAction::Forward, "%s", row.name);
+        FlowPacket withoutToken = f.data(3, 1, 101);
+        withoutToken.token = 0;
+        cr_assert_eq(f.decide(withoutToken).action, FlowAction::Reset, "%s", row.name);
+    }
+}
+
+Test(flowdirector, a_silent_flow_on_an_unlisted_upstream_is_reset_only_after_store_confirmation)
+{
+    // Guards against three failures: a VM joined after an upstream had crashed and never received
+    // its entry; the watch of a VM or of its relay delivered no changes while another VM opened a
+    // flow on an upstream that had just started.
+    struct Row
+    {
+        const char *name;
+        bool isReliable;
+        std::chrono::milliseconds confirmedAfter; //!< relative to the first packet
+        FlowAction action;
+    };
+    const Row rows[] = {
+        {"confirmed since", true, 4ms, FlowAction::Reset},
+        {"confirmed until just before the first packet", true, -1ms, FlowAction::Drop},
+        {"watch delivers no changes", true, -3s, FlowAction::Drop},
+        {"registry not reliable", false, 4ms, FlowAction::Drop},
+    };
+    for (const Row &row : rows) {
+        DirectorFixture f;
+        f.add(1);
+        f.registry.setReliable(row.isReliable);
+        f.registry.recordConfirmation(f.now - 3s);
+        const FlowDecision first = f.decide(f.data(1, 77, 101));
+        cr_assert_eq(first.action, FlowAction::Drop);
+        cr_assert(first.needsConfirmation, "%s", row.name);
+        f.registry.recordConfirmation(f.now + row.confirmedAfter);
+        f.now += 600ms;
+        const FlowDecision again = f.decide(f.data(1, 77, 101));
+        cr_assert_eq(again.action, row.action, "%s", row.name);
+        cr_assert_eq(again.needsConfirmation, row.action == FlowAction::Drop, "%s", row.name);
+        f.add(77);
+        f.now += 800ms;
+        cr_assert_eq(f.decide(f.data(1, 77, 101)).action, FlowAction::Forward, "%s", row.name);
+    }
+}
