--- a/src/distribution/internal/relayedstore.cpp
+++ b/src/distribution/internal/relayedstore.cpp
@@ -47,6 +47,14 @@
 
 //! Longest time until a listing has arrived completely. The store is queried beside the relay.
 constexpr std::chrono::milliseconds kMaxListingDuration{2000};
+
+//! Returns \a listing with the time until which it includes all changes.
+store::StoreListing confirmedListing(store::StoreListing listing,
+                                     std::chrono::steady_clock::time_point confirmedAt)
+{
+    listing.confirmedAt = confirmedAt;
+    return listing;
+}
 }
 
 struct RelayedStore::ListingState
@@ -158,9 +166,7 @@
         this->cache.addPage(listing.prefix, listing.kind, listing.afterKey, page, sent.boot, now);
     }
     const bool isConfirmed = !page.age && listing.kind == store::ReadKind::Linearizable;
-    store::StoreListing confirmed = page;
-    confirmed.confirmedAt = isConfirmed ? sent.steady : std::chrono::steady_clock::time_point();
-    listing.handler(confirmed);
+    listing.handler(isConfirmed ? confirmedListing(page, sent.steady) : page);
 }
 
 void RelayedStore::listFromRelay(const net::Endpoint &relay, const Listing &listing)
@@ -223,11 +229,9 @@
         this->store.cancel(listing.prefix);
     }
     this->cache.addRelayedListing(listing.prefix, response.listing, sent.boot - response.age);
-    store::StoreListing confirmed = response.listing;
-    if (listing.kind == store::ReadKind::Linearizable) {
-        confirmed.confirmedAt = sent.steady - response.age;
-    }
-    listing.handler(confirmed);
+    const bool isConfirmed = listing.kind == store::ReadKind::Linearizable;
+    listing.handler(isConfirmed ? confirmedListing(response.listing, sent.steady - response.age)
+                                : response.listing);
 }
 
 void RelayedStore::watch(const std::string &prefix, std::uint64_t revision,
@@ -253,9 +257,7 @@
                               this->cache.addChanges(watch.prefix, watch.revision, response,
                                                      sent.boot);
                           }
-                          store::StoreListing confirmed = response;
-                          confirmed.confirmedAt = sent.steady;
-                          watch.handler(confirmed);
+                          watch.handler(confirmedListing(response, sent.steady));
                       });
 }
 
@@ -265,9 +267,7 @@
     this->store.readChanges(prefix, revision,
                             [handler = std::move(handler),
                              sent = this->sendTime()](const store::StoreListing &response) {
-                                store::StoreListing confirmed = response;
-                                confirmed.confirmedAt = sent.steady;
-                                handler(confirmed);
+                                handler(confirmedListing(response, sent.steady));
                             });
 }
 
@@ -288,9 +288,7 @@
             }
             this->cache.addRelayedChanges(watch.prefix, watch.revision, response->listing,
                                           sent.boot - response->age, this->clock.timeSinceBoot());
-            store::StoreListing confirmed = response->listing;
-            confirmed.confirmedAt = sent.steady - response->age;
-            watch.handler(confirmed);
+            watch.handler(confirmedListing(response->listing, sent.steady - response->age));
         });
 }
 
