--- a/src/store/internal/followerpacing.cpp
+++ b/src/store/internal/followerpacing.cpp
@@ -10,13 +10,13 @@
 //! to and relayed.
 constexpr std::chrono::milliseconds kRepetitionTime{500};
 
-constexpr std::chrono::milliseconds kMinWatchWait{100};
+constexpr std::chrono::milliseconds kShortestWait{100};
 }
 
 std::chrono::milliseconds FollowerPacing::watchWaitFor(std::chrono::milliseconds recovery)
 {
     // A watch that is sent at the end of an outage, or whose response is lost then, fails only by
     // its own timeout: no other call has to notice an outage of a moment.
-    return std::max(recovery - IStore::kMaxWatchOverrun - kRepetitionTime, kMinWatchWait);
+    return std::max(recovery - IStore::kMaxWatchOverrun - kRepetitionTime, kShortestWait);
 }
 }
--- a/src/store/internal/prefixfollower.cpp
+++ b/src/store/internal/prefixfollower.cpp
@@ -11,8 +11,6 @@
 
 namespace radishladder::store {
 namespace {
-constexpr std::chrono::milliseconds kProbeWait{1};
-
 //! Shortest time between two calls of confirm().
 constexpr std::chrono::milliseconds kConfirmationInterval{250};
 }
@@ -94,7 +92,7 @@
 {
     // After an outage the first watch must return at once, with or without changes, because its
     // response shows that the store is reachable again.
-    this->watchFor(this->connected ? this->pacing.watchWait : kProbeWait);
+    this->watchFor(this->connected ? this->pacing.watchWait : IStore::kMinWatchWait);
 }
 
 void PrefixFollower::watchFor(std::chrono::milliseconds wait)
--- a/src/store/istore.h
+++ b/src/store/istore.h
@@ -24,6 +24,9 @@
     //! A call to watch() that gets no response fails at most this long after its wait.
     static constexpr std::chrono::milliseconds kMaxWatchOverrun{1000};
 
+    //! A watch with this wait returns at once.
+    static constexpr std::chrono::milliseconds kMinWatchWait{1};
+
     virtual ~IStore() = default;
 
     //! Lists one page of the items under \a prefix, starting after \a afterKey.
