--- a/review/rig-2/scenarios.cpp
+++ b/review/rig-2/scenarios.cpp
@@ -281,11 +281,12 @@
     constexpr double kWarmupPerSecond = 4;
     constexpr std::size_t kMaxPerSecond = 11;
     constexpr milliseconds kSettleTime{9000};
-    constexpr milliseconds kBeforeReturn{4000};
-    constexpr milliseconds kDown{150};
+    constexpr milliseconds kBeforeEvacuation{2000};
+    constexpr milliseconds kEvacuation{8000};
     constexpr milliseconds kBetweenStarts{50};
     constexpr milliseconds kCold{2000};
-    constexpr milliseconds kDuration{12000};
+    constexpr milliseconds kDuration{16000};
+    const std::string evacuationKey = "op/evacuate/a";
     rig.publishConfiguration({{"reservations", "unsafe"}}, kWarmupPerSecond);
     for (const char *zone : {"a", "b"}) {
         for (int i = 0; i < 2; ++i) {
@@ -310,18 +311,23 @@
         if (!hasTrouble) {
             return;
         }
-        rig.loop.after(kBeforeReturn, [&]() {
-            for (std::size_t i = 0; i < 3; ++i) {
-                rig.record.write(rig.hosts[i]->name() + " ends");
-                rig.hosts[i]->crash();
-            }
+        rig.loop.after(kBeforeEvacuation, [&]() {
+            rig.record.write("the operator evacuates zone a");
+            rig.put(evacuationKey, "{}");
+        });
+        rig.loop.after(kBeforeEvacuation + kEvacuation, [&]() {
+            rig.record.write("the operator takes zone a back");
+            rig.remove(evacuationKey);
         });
-        for (std::size_t i = 0; i < 3; ++i) {
-            rig.loop.after(kBeforeReturn + kDown + kBetweenStarts * static_cast<int>(i), [&, i]() {
-                rig.record.write(rig.hosts[i]->name()
-                                 + " starts again under its identifier, is cold, and has "
-                                   "written its entry");
-                rig.hosts[i]->start(kCold);
+        // The hosts are cold when the evacuation ends; the last one has just started.
+        for (int i = 0; i < 3; ++i) {
+            rig.loop.after(kBeforeEvacuation + kEvacuation - kBetweenStarts * i, [&, i]() {
+                Host &host = *rig.hosts[static_cast<std::size_t>(i)];
+                host.crash();
+                host.start(kCold);
+                rig.record.write(host.name()
+                                 + " starts again under its identifier, is cold, and "
+                                   "has written its entry");
             });
         }
     });
--- a/review/rig-2/testbed.cpp
+++ b/review/rig-2/testbed.cpp
@@ -71,6 +71,11 @@
     this->store->put(key, value);
 }
 
+void Rig::remove(const std::string &key)
+{
+    this->store->remove(key);
+}
+
 std::uint32_t Rig::address(int part, int number) const
 {
     return 0x7f000000U | static_cast<std::uint32_t>(100 + this->lane) << 16U
@@ -311,6 +316,7 @@
     this->begin = std::move(begin);
     this->loop.watchSignal(SIGTERM, [this]() { this->interrupt(); });
     this->loop.watchSignal(SIGINT, [this]() { this->interrupt(); });
+    this->loop.watchSignal(SIGHUP, [this]() { this->interrupt(); });
     const bool areHostsUp = std::ranges::all_of(
         this->hosts, [](const auto &host) { return host->start(milliseconds(0)); });
     if (!areHostsUp) {
--- a/review/rig-2/testbed.h
+++ b/review/rig-2/testbed.h
@@ -71,6 +71,7 @@
 
     //! Writes an item of the store at once, as another writer than the system does.
     void put(const std::string &key, const std::string &value);
+    void remove(const std::string &key);
 
     radishladder::net::Endpoint serviceEndpoint(int index) const;
 
