--- a/review/rig-2/main.cpp
+++ b/review/rig-2/main.cpp
@@ -18,7 +18,8 @@
     const std::map<std::string, Scenario> scenarios = {
         {"odd-entry", review::runOddEntry},
         {"planned-restart", review::runPlannedRestart},
-        {"cold-return", review::runColdReturn}};
+        {"cold-return", review::runColdReturn},
+        {"drain-behind-relay", review::runDrainBehindRelay}};
     const auto scenario = scenarios.find(name);
     if (scenario == scenarios.end()) {
         std::cerr << "unknown scenario " << name << '\n';
--- a/review/rig-2/scenarios.cpp
+++ b/review/rig-2/scenarios.cpp
@@ -225,7 +225,7 @@
     FlowCheck check(rig);
     std::set<std::uint16_t> losesSynAck;
     for (const auto &host : rig.hosts) {
-        host->onPacket = [&check](const Host &at, const WirePacket &packet) {
+        host->onPacket = [&check](const Host &at, const WirePacket &packet, std::uint32_t) {
             check.onPacket(at, packet);
         };
         host->isLost = [&rig, &losesSynAck](const Host &from, const WirePacket &packet) {
@@ -299,7 +299,7 @@
     Client client(rig, "a", rig.address(3, 1));
     WarmupCheck check(rig, client, kMaxPerSecond);
     for (const auto &host : rig.hosts) {
-        host->onPacket = [&check](const Host &at, const WirePacket &packet) {
+        host->onPacket = [&check](const Host &at, const WirePacket &packet, std::uint32_t) {
             check.onPacket(at, packet);
         };
     }
@@ -336,4 +336,143 @@
                                   " requests answered, ", client.unanswered, " not"));
     return isRun && client.answered > 0;
 }
+
+namespace {
+//! Checks rule DRAIN for flows: a host takes the first packet of a flow later than the bound after
+//! the store accepted that it drains, through a VM in touch.
+class DrainCheck
+{
+public:
+    explicit DrainCheck(Rig &rig) : rig(rig) { }
+
+    void onPacket(const Host &at, const WirePacket &packet, std::uint32_t vmAddress)
+    {
+        const bool isFirst = packet.isSyn && this->seen.insert({at.id, packet.source.port}).second;
+        const Vm *vm = this->rig.findVm(vmAddress);
+        const auto now = Clock::now();
+        if (!isFirst || !at.isDraining || vm == nullptr || vm->isCut
+            || now - vm->cutUntil < kContact) {
+            return;
+        }
+        const auto late = std::chrono::duration_cast<milliseconds>(now - at.drainingSince);
+        if (late > kDrainBound) {
+            this->rig.recordViolation(absl::StrCat(
+                "DRAIN: ", at.name(), " gets the flow from port ", packet.source.port, " through ",
+                vm->name, " ", late.count(), " ms after the store accepted that ", "it drains"));
+        }
+    }
+
+private:
+    static constexpr milliseconds kContact{4000};
+
+    //! The bound and the time of the store's answer.
+    static constexpr milliseconds kDrainBound{3000 + 10};
+
+    Rig &rig;
+    std::set<std::pair<std::uint64_t, std::uint16_t>> seen;
+};
+
+//! Replaces hosts one after the other, and partitions a relay from the store during each step.
+class ReleaseWithCuts
+{
+public:
+    ReleaseWithCuts(Rig &rig, bool hasTrouble) : rig(rig), hasTrouble(hasTrouble) { }
+
+    void begin()
+    {
+        this->rig.readRelayFollowers();
+        this->rig.loop.after(milliseconds(500), [this]() { this->chooseRelay(); });
+    }
+
+private:
+    static constexpr int kSteps = 4;
+    static constexpr milliseconds kBetweenSteps{11000};
+    static constexpr milliseconds kRenewInterval{2000};
+    static constexpr milliseconds kStepBeforeRenewal{1050};
+    static constexpr milliseconds kNewHostFirst{200};
+    static constexpr milliseconds kCold{2000};
+    static constexpr milliseconds kCut{5500};
+
+    void chooseRelay()
+    {
+        const auto relay = std::ranges::max_element(
+            this->rig.vms, {}, [](const auto &vm) { return vm->relayFollowers; });
+        this->rig.record.write((*relay)->name + " relays the store to others");
+        this->rig.onStoreAnswer = [this, &vm = **relay](const Vm &answered,
+                                                        const std::string &path) {
+            if (&answered == &vm && path.starts_with("/radishladder/kv-keep/")) {
+                this->onRenewal(vm);
+            }
+        };
+    }
+
+    void onRenewal(Vm &relay)
+    {
+        const auto now = Clock::now();
+        if (this->isStepping) {
+            this->isStepping = false;
+            if (this->hasTrouble) {
+                this->rig.cutFromStore(relay, kCut);
+            }
+        } else if (this->steps < kSteps && now >= this->nextStep) {
+            this->nextStep = now + kBetweenSteps;
+            this->isStepping = true;
+            this->rig.loop.after(kRenewInterval - kStepBeforeRenewal, [this]() { this->step(); });
+        }
+    }
+
+    void step()
+    {
+        Host &old = *this->rig.hosts[static_cast<std::size_t>(this->steps)];
+        ++this->steps;
+        Host &added = this->rig.addHost(old.zone, old.service);
+        added.onPacket = old.onPacket;
+        added.workTime = old.workTime;
+        added.start(kCold);
+        this->rig.record.write(added.name() + " starts in place of " + old.name());
+        this->rig.loop.after(kNewHostFirst, [this, &old]() {
+            old.drain();
+            this->rig.record.write(old.name() + " drains");
+        });
+    }
+
+    Rig &rig;
+    bool hasTrouble;
+    int steps = 0;
+    bool isStepping = false;
+    Clock::time_point nextStep;
+};
+}
+
+bool runDrainBehindRelay(Rig &rig, bool hasTrouble)
+{
+    constexpr int kFlowsPerSecond = 200;
+    constexpr int kVms = 6;
+    constexpr int kHosts = 10;
+    constexpr milliseconds kSettleTime{9000};
+    constexpr milliseconds kDuration{52000};
+    rig.publishConfiguration({{"reservations", "unsafe"}}, kNoWarmupRate);
+    for (int i = 0; i < kVms; ++i) {
+        rig.addVm("a");
+    }
+    DrainCheck check(rig);
+    for (int i = 0; i < kHosts; ++i) {
+        Host &host = rig.addHost("a", "reservations");
+        host.onPacket = [&check](const Host &at, const WirePacket &packet, std::uint32_t vm) {
+            check.onPacket(at, packet, vm);
+        };
+    }
+    Client client(rig, "a", rig.address(3, 1));
+    if (!client.start()) {
+        return false;
+    }
+    ReleaseWithCuts release(rig, hasTrouble);
+    const bool isRun = rig.run(kSettleTime, kDuration, [&]() {
+        client.keepOpening(rig.serviceEndpoint(0), kFlowsPerSecond);
+        release.begin();
+    });
+    rig.record.write(absl::StrCat(client.opened, " flows opened, ", client.answered,
+                                  " requests answered, ", client.unanswered, " not"));
+    return isRun && client.answered > 0;
+}
 }
--- a/review/rig-2/scenarios.h
+++ b/review/rig-2/scenarios.h
@@ -11,4 +11,7 @@
 
 //! Hosts that start again under their identifiers get more flows than a cold host bears.
 bool runColdReturn(Rig &rig, bool hasTrouble);
+
+//! A draining host gets new flows through VMs whose relay is partitioned from the store.
+bool runDrainBehindRelay(Rig &rig, bool hasTrouble);
 }
--- a/review/rig-2/testbed.cpp
+++ b/review/rig-2/testbed.cpp
@@ -14,8 +14,10 @@
 #include <csignal>
 #include <fcntl.h>
 #include <spawn.h>
+#include <sstream>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <utility>
 
 extern char **environ;
 
@@ -36,7 +38,6 @@
 constexpr int kVmPart = 1;
 constexpr int kHostPart = 2;
 constexpr int kServicePart = 4;
-constexpr int kStorePart = 5;
 constexpr int kRouterPart = 6;
 
 constexpr milliseconds kProbePeriod{500};
@@ -44,12 +45,26 @@
 constexpr milliseconds kProcessPeriod{20};
 constexpr milliseconds kRestartDelay{500};
 constexpr milliseconds kMaxStartTime{8000};
+
+//! Returns the value of the metric whose name ends with \a name; 0 if there is none.
+double metricOf(const std::string &text, const std::string &name)
+{
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);) {
+        const std::string::size_type blank = line.rfind(' ');
+        if (!line.starts_with('#') && blank != std::string::npos
+            && line.substr(0, blank).ends_with(name)) {
+            return std::stod(line.substr(blank));
+        }
+    }
+    return 0;
+}
 }
 
 Rig::Rig(std::string root, std::string scratch, Record &record)
     : record(record), root(std::move(root)), scratch(std::move(scratch)),
       store(std::make_unique<standins::MemoryStore>(this->loop)),
-      storeHandler(std::make_unique<platform::StoreServer>(*this->store)), storeServer(this->loop)
+      storeHandler(std::make_unique<platform::StoreServer>(*this->store))
 {
     // The store of the pages sends no era.
     this->store->setEra(0);
@@ -59,6 +74,7 @@
 {
     for (const auto &vm : this->vms) {
         vm->probe.reset();
+        vm->operations.reset();
         if (vm->process > 0) {
             ::kill(vm->process, SIGKILL);
             ::waitpid(vm->process, nullptr, 0);
@@ -145,20 +161,75 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     const int first = static_cast<int>(::getpid()) % kLanes;
-    for (int i = 0; i < kLanes; ++i) {
+    Reason reason;
+    for (int i = 0; i < kLanes && !this->routerSocket; ++i) {
         this->lane = (first + i) % kLanes;
-        const bool isFree = this->storeServer.start(
-            {this->address(kStorePart, 1), kStorePort},
-            [this](const net::HttpRequest &request, const net::IHttpServer::Responder &respond) {
-                this->storeHandler->handle(request, respond);
+        this->routerSocket = net::BatchSocket::open({this->address(kRouterPart, 1), 17000}, reason);
+    }
+    return this->routerSocket != nullptr;
+}
+
+bool Rig::startStoreFront(Vm &vm)
+{
+    vm.storeFront = std::make_unique<net::LibeventHttpServer>(this->loop);
+    return vm.storeFront->start(
+        {vm.address, kStorePort},
+        [this, &vm](const net::HttpRequest &request, const net::IHttpServer::Responder &respond) {
+            this->pass(vm, [this, &vm, request, respond]() {
+                this->storeHandler->handle(
+                    request,
+                    [this, &vm, respond, path = request.path](const net::HttpResponse &response) {
+                        this->pass(vm, [this, &vm, respond, path, response]() {
+                            respond(response);
+                            if (this->onStoreAnswer) {
+                                this->onStoreAnswer(vm, path);
+                            }
+                        });
+                    });
             });
-        if (isFree) {
-            break;
+        });
+}
+
+void Rig::pass(Vm &vm, std::function<void()> delivery)
+{
+    if (vm.isCut) {
+        vm.heldUp.push_back(std::move(delivery));
+    } else {
+        delivery();
+    }
+}
+
+void Rig::cutFromStore(Vm &vm, milliseconds duration)
+{
+    this->record.write(vm.name + " is partitioned from the store");
+    vm.isCut = true;
+    this->loop.after(duration, [this, &vm]() {
+        this->record.write(vm.name + " reaches the store again");
+        vm.isCut = false;
+        vm.cutUntil = Clock::now();
+        for (const auto &delivery : std::exchange(vm.heldUp, {})) {
+            delivery();
         }
+    });
+}
+
+void Rig::readRelayFollowers()
+{
+    for (const auto &vm : this->vms) {
+        vm->operations = std::make_unique<net::LibeventHttpConnection>(
+            this->loop, net::Endpoint{vm->address, kOperationsPort});
+        vm->operations->send({.path = "/metrics", .timeout = kProbeTimeout},
+                             [&vm = *vm](const net::HttpResult &result) {
+                                 vm.relayFollowers = metricOf(result.body, "relay_followers");
+                             });
     }
-    Reason reason;
-    this->routerSocket = net::BatchSocket::open({this->address(kRouterPart, 1), 17000}, reason);
-    return this->routerSocket != nullptr;
+}
+
+const Vm *Rig::findVm(std::uint32_t address) const
+{
+    const auto found =
+        std::ranges::find(this->vms, address, [](const auto &vm) { return vm->address; });
+    return found == this->vms.end() ? nullptr : found->get();
 }
 
 void Rig::writeSettings(const Vm &vm, bool isFirstStart) const
@@ -177,7 +248,7 @@
         json["seeds"].append(net::endpointText({this->vms[i]->address, kRelayPort}));
     }
     json["firstStart"] = isFirstStart;
-    json["store"] = net::endpointText({this->address(kStorePart, 1), kStorePort});
+    json["store"] = at(kStorePort);
     Json::Value limits;
     limits["drainMs"] = 3000;
     limits["configurationMs"] = 3000;
@@ -323,6 +394,9 @@
         return false;
     }
     for (const auto &vm : this->vms) {
+        if (!this->startStoreFront(*vm)) {
+            return false;
+        }
         this->startVm(*vm, true);
     }
     this->loop.every(kProbePeriod, [this]() { this->probeVms(); });
--- a/review/rig-2/testbed.h
+++ b/review/rig-2/testbed.h
@@ -37,6 +37,20 @@
     pid_t process = -1;
     int missedProbes = 2;
     bool isProbing = false;
+
+    //! True while the VM is partitioned from the store: no packet passes in either direction.
+    bool isCut = false;
+
+    //! What the partition holds up: it arrives when the partition ends.
+    std::vector<std::function<void()>> heldUp;
+
+    //! End of the last partition.
+    Clock::time_point cutUntil;
+
+    //! Value of the VM's metric `relay_followers`, read by readRelayFollowers().
+    double relayFollowers = 0;
+    std::unique_ptr<radishladder::net::LibeventHttpServer> storeFront;
+    std::unique_ptr<radishladder::net::LibeventHttpConnection> operations;
     std::unique_ptr<radishladder::net::LibeventHttpConnection> probe;
 
     bool isInRotation() const { return this->missedProbes < 2; }
@@ -82,6 +96,17 @@
     void route(const radishladder::flows::FlowKey &flow, const std::string &zone,
                std::span<const std::uint8_t> datagram);
 
+    //! Partitions \a vm from the store for \a duration.
+    void cutFromStore(Vm &vm, milliseconds duration);
+
+    //! Asks each VM for its metric `relay_followers`.
+    void readRelayFollowers();
+
+    const Vm *findVm(std::uint32_t address) const;
+
+    //! Called when the store has answered a call of a VM.
+    std::function<void(Vm &, const std::string &path)> onStoreAnswer;
+
     //! Sends SIGTERM to \a vm; the platform starts it again half a second after its end.
     void terminate(Vm &vm);
 
@@ -94,6 +119,10 @@
     void recordViolation(const std::string &text);
 
 private:
+    bool startStoreFront(Vm &vm);
+
+    //! Runs \a delivery now, or at the end of the partition between \a vm and the store.
+    void pass(Vm &vm, std::function<void()> delivery);
     void startVm(Vm &vm, bool isFirstStart);
     void writeSettings(const Vm &vm, bool isFirstStart) const;
     void probeVms();
@@ -110,7 +139,6 @@
     std::uint64_t lastHost = 0;
     std::unique_ptr<radishladder::standins::MemoryStore> store;
     std::unique_ptr<radishladder::platform::StoreServer> storeHandler;
-    radishladder::net::LibeventHttpServer storeServer;
     std::unique_ptr<radishladder::net::BatchSocket> routerSocket;
 };
 }
--- a/review/rig-2/upstreamhost.cpp
+++ b/review/rig-2/upstreamhost.cpp
@@ -64,6 +64,13 @@
     return true;
 }
 
+void Host::drain()
+{
+    this->isDraining = true;
+    this->publish();
+    this->drainingSince = Clock::now();
+}
+
 void Host::publish()
 {
     Json::Value json;
@@ -72,7 +79,7 @@
     json["zone"] = this->zone;
     json["version"] = "v1";
     json["concurrency"] = 3;
-    json["state"] = "ready";
+    json["state"] = this->isDraining ? "draining" : "ready";
     json["warmup_left_ms"] = this->warmupLeftMs;
     json["sequence"] = Json::Int64(++this->sequenceOfEntry);
     json["born"] = Json::UInt64(this->born);
@@ -107,12 +114,12 @@
 
 void Host::receive()
 {
-    this->socket->receive([this](std::span<std::uint8_t> datagram, const net::Endpoint &) {
-        this->handle(datagram);
+    this->socket->receive([this](std::span<std::uint8_t> datagram, const net::Endpoint &from) {
+        this->handle(datagram, from.address);
     });
 }
 
-void Host::handle(std::span<const std::uint8_t> datagram)
+void Host::handle(std::span<const std::uint8_t> datagram, std::uint32_t vmAddress)
 {
     if (datagram.size() < kIdBytes) {
         return;
@@ -126,7 +133,7 @@
         return;
     }
     if (this->onPacket) {
-        this->onPacket(*this, *packet);
+        this->onPacket(*this, *packet, vmAddress);
     }
     packet->isSyn ? this->accept(*packet) : this->serve(*packet);
 }
--- a/review/rig-2/upstreamhost.h
+++ b/review/rig-2/upstreamhost.h
@@ -44,6 +44,9 @@
     //! The process ends without notice: all flows are lost, the entry stays until it expires.
     void crash();
 
+    //! Reports that it drains; it serves on.
+    void drain();
+
     //! Writes the entry again, as the host does with its next heartbeat if the entry differs.
     void publish();
 
@@ -64,14 +67,18 @@
     std::function<bool(const Host &, const radishladder::platform::WirePacket &)> isLost;
 
     //! Called with each packet of a client that arrives, before the host handles it.
-    std::function<void(const Host &, const radishladder::platform::WirePacket &)> onPacket;
+    std::function<void(const Host &, const radishladder::platform::WirePacket &,
+                       std::uint32_t vmAddress)>
+        onPacket;
 
     Clock::time_point coldUntil;
+    bool isDraining = false;
+    Clock::time_point drainingSince;
     int requestsRun = 0;
 
 private:
     void receive();
-    void handle(std::span<const std::uint8_t> datagram);
+    void handle(std::span<const std::uint8_t> datagram, std::uint32_t vmAddress);
     void accept(const radishladder::platform::WirePacket &packet);
     void serve(const radishladder::platform::WirePacket &packet);
     void receiveRequest(const Key &key, const radishladder::platform::WirePacket &packet);
