--- a/src/evidence/evidencecodec.h
+++ b/src/evidence/evidencecodec.h
@@ -10,6 +10,9 @@
 namespace radishladder::evidence {
 struct EvidenceDatagram;
 
+//! First two bytes of each datagram, in network byte order.
+inline constexpr std::uint16_t kEvidenceMagic = 0x5265;
+
 //! Largest size of an encoded datagram, in bytes.
 inline constexpr std::size_t kMaxEvidenceBytes = 20 + 32 * 15;
 
--- a/src/evidence/internal/evidencecodec.cpp
+++ b/src/evidence/internal/evidencecodec.cpp
@@ -1,15 +1,15 @@
 #include "evidence/evidencecodec.h"
 
 #include "evidence/types/evidencedatagram.h"
+#include "net/bytereader.h"
+#include "net/bytewriter.h"
 
 #include <algorithm>
-#include <concepts>
 
 namespace radishladder::evidence {
 namespace {
 using std::chrono::milliseconds;
 
-constexpr std::uint16_t kMagic = 0x5265;
 constexpr std::uint8_t kVersion = 1;
 constexpr std::size_t kHeaderBytes = 20;
 constexpr std::size_t kRecordBytes = 15;
@@ -20,54 +20,12 @@
 constexpr std::uint16_t kNoAge = 0xffff;
 constexpr int kMaxSilentFlows = 255;
 
-//! Writes integers in network byte order.
-class Writer
-{
-public:
-    explicit Writer(std::span<std::uint8_t> out) : out(out) { }
-
-    template <std::unsigned_integral Integer>
-    void write(Integer value)
-    {
-        for (std::size_t i = sizeof(Integer); i-- > 0;) {
-            this->out[this->offset++] = static_cast<std::uint8_t>(std::uint64_t{value} >> (8 * i));
-        }
-    }
-
-    std::size_t size() const { return this->offset; }
-
-private:
-    std::span<std::uint8_t> out;
-    std::size_t offset = 0;
-};
-
-//! Reads integers in network byte order; the caller checks the size first.
-class Reader
-{
-public:
-    explicit Reader(std::span<const std::uint8_t> bytes) : bytes(bytes) { }
-
-    template <std::unsigned_integral Integer>
-    Integer read()
-    {
-        std::uint64_t value = 0;
-        for (std::size_t i = 0; i < sizeof(Integer); ++i) {
-            value = value << 8U | this->bytes[this->offset++];
-        }
-        return static_cast<Integer>(value);
-    }
-
-private:
-    std::span<const std::uint8_t> bytes;
-    std::size_t offset = 0;
-};
-
 std::uint16_t encodeAge(milliseconds age)
 {
     return static_cast<std::uint16_t>(std::clamp<std::int64_t>(age.count(), 0, kMaxAge));
 }
 
-EvidenceRecord readRecord(Reader &reader, bool &isInRange)
+EvidenceRecord readRecord(net::ByteReader &reader, bool &isInRange)
 {
     EvidenceRecord record;
     record.upstream.value = reader.read<std::uint64_t>();
@@ -89,8 +47,8 @@
 
 std::size_t encodeEvidence(const EvidenceDatagram &datagram, std::span<std::uint8_t> out)
 {
-    Writer writer(out);
-    writer.write(kMagic);
+    net::ByteWriter writer(out);
+    writer.write(kEvidenceMagic);
     writer.write(kVersion);
     writer.write(static_cast<std::uint8_t>(datagram.recordCount));
     writer.write(datagram.sender);
@@ -114,8 +72,8 @@
     if (bytes.size() < kHeaderBytes) {
         return Rejection::Truncated;
     }
-    Reader reader(bytes);
-    if (reader.read<std::uint16_t>() != kMagic) {
+    net::ByteReader reader(bytes);
+    if (reader.read<std::uint16_t>() != kEvidenceMagic) {
         return Rejection::WrongMagic;
     }
     if (reader.read<std::uint8_t>() != kVersion) {
