flows: VMs share the flows whose packets do not show their upstream

Cause: a SYN+ACK was lost while a VM left the rotation. The retransmitted SYN reached a VM without a record, which selected a second upstream. The first one repeats its SYN+ACK for ten seconds, each of which changes the token that the client sends; only the VM that saw the flow open knows better, and a VM that takes the flow over forwards by the token.

The sockets of the evidence serve both (PeerSocket, DueTimer).

--- a/src/app/evidenceexchange.cpp
+++ b/src/app/evidenceexchange.cpp
@@ -1,15 +1,11 @@
 #include "app/evidenceexchange.h"
 
+#include "app/peersocket.h"
 #include "evidence/evidencecodec.h"
 #include "flows/flowtable.h"
 #include "global/iclock.h"
 #include "global/irandom.h"
-#include "global/reason.h"
 #include "membership/imembership.h"
-#include "membership/types/relayoffer.h"
-#include "net/batchsocket.h"
-#include "net/ieventloop.h"
-#include "net/types/trafficmeter.h"
 #include "telemetry/ieventlog.h"
 #include "telemetry/igauge.h"
 #include "telemetry/imetrics.h"
@@ -31,15 +27,6 @@
 //! ages don't include the time in the queue.
 constexpr milliseconds kMinPause{500};
 
-//! Time between attempts to open the socket.
-constexpr milliseconds kStartInterval{10000};
-
-//! Members change rarely, and their list is polled every few seconds.
-constexpr milliseconds kPeerUpdateInterval{1000};
-
-//! Shortest delay of a timer, so that several datagrams are not sent one by one.
-constexpr milliseconds kMinTimer{1};
-
 std::string_view eventOf(const evidence::SuspectChange &change)
 {
     if (change.isSuspect) {
@@ -57,35 +44,15 @@
 }
 }
 
-EvidenceExchange::EvidenceExchange(const Parts &parts, VmName self, const net::Endpoint &local)
-    : parts(parts), self(std::move(self)), local(local),
-      evidence(this->self, static_cast<std::uint32_t>(parts.random.next()), parts.table,
-               parts.random),
-      stallDetector(kMinPause)
-{
-    this->evidence.setWakeHandler([this]() { this->schedule(); });
-}
-
-EvidenceExchange::~EvidenceExchange()
+EvidenceExchange::EvidenceExchange(const Parts &parts, const VmName &self)
+    : parts(parts),
+      evidence(self, static_cast<std::uint32_t>(parts.random.next()), parts.table, parts.random),
+      timer(parts.loop, parts.clock, [this]() { this->sendDue(); }), stallDetector(kMinPause)
 {
-    if (this->socket) {
-        this->parts.loop.unwatch(this->socket->descriptor());
-    }
-}
-
-void EvidenceExchange::start()
-{
-    Reason reason;
-    this->socket = net::BatchSocket::open(this->local, reason);
-    if (!this->socket) {
-        this->nextStart = this->parts.clock.now() + kStartInterval;
-        this->parts.log.write(LogEntry(LogKind::State, "peers.failed")
-                                  .text("code", resultCodeName(reason.code))
-                                  .text("detail", reason.detail));
-        return;
-    }
-    this->socket->measureQueueTime();
-    this->parts.loop.watchReadable(this->socket->descriptor(), [this]() { this->receive(); });
+    this->evidence.setWakeHandler([this]() { this->timer.wakeAt(this->evidence.nextDue()); });
+    this->parts.socket.addReceiver(evidence::kEvidenceMagic,
+                                   [this](std::span<const std::uint8_t> datagram,
+                                          const net::Endpoint &) { this->receive(datagram); });
 }
 
 bool EvidenceExchange::checkPause()
@@ -99,92 +66,46 @@
     return isPaused;
 }
 
-void EvidenceExchange::receive()
+void EvidenceExchange::receive(std::span<const std::uint8_t> datagram)
 {
     const bool mayHaveBeenQueued = this->checkPause();
-    this->socket->receive([this, mayHaveBeenQueued](std::span<std::uint8_t> datagram,
-                                                    const net::Endpoint &) {
-        this->parts.traffic.receivedBytes += datagram.size();
-        // The ages in a datagram are those at its arrival. A stall that is too short for a
-        // pause would otherwise make old silence look new.
-        const auto queueTime = this->socket->queueTime();
-        if (mayHaveBeenQueued || queueTime >= kMinPause) {
-            this->evidence.recordRejected(evidence::Rejection::Queued);
-        } else {
-            this->evidence.receive(
-                datagram, this->parts.clock.now() - duration_cast<TimePoint::duration>(queueTime));
-        }
-    });
-}
-
-void EvidenceExchange::schedule()
-{
-    const auto due = this->evidence.nextDue();
-    if (!due || (this->timerDue && *this->timerDue <= *due)) {
-        return;
+    // The ages in a datagram are those at its arrival. A stall that is too short for a pause would
+    // otherwise make old silence look new.
+    const auto queueTime = this->parts.socket.queueTime();
+    if (mayHaveBeenQueued || queueTime >= kMinPause) {
+        this->evidence.recordRejected(evidence::Rejection::Queued);
+    } else {
+        this->evidence.receive(
+            datagram, this->parts.clock.now() - duration_cast<TimePoint::duration>(queueTime));
     }
-    const auto delay = std::chrono::ceil<milliseconds>(*due - this->parts.clock.now());
-    this->timerDue = due;
-    this->parts.loop.after(std::max(delay, kMinTimer), [this, due]() {
-        // A timer that was replaced by an earlier one has nothing to do.
-        if (this->timerDue == due) {
-            this->timerDue.reset();
-            this->sendDue();
-        }
-    });
 }
 
 void EvidenceExchange::sendDue()
 {
-    if (!this->socket || this->checkPause()) {
+    if (!this->parts.socket.isOpen() || this->checkPause()) {
         return;
     }
     std::array<std::uint8_t, evidence::kMaxEvidenceBytes> out;
     const TimePoint now = this->parts.clock.now();
     while (const std::size_t size = this->evidence.nextDatagram(out, now)) {
-        for (const net::Endpoint &peer : this->peers) {
-            this->socket->send(std::span(out).first(size), peer);
-        }
-        this->parts.traffic.sentBytes += size * this->peers.size();
+        this->parts.socket.sendToMembers(std::span(out).first(size));
     }
-    this->socket->flush();
-    this->schedule();
+    this->parts.socket.flush();
+    this->timer.wakeAt(this->evidence.nextDue());
 }
 
 void EvidenceExchange::tick()
 {
     this->checkPause();
     const TimePoint now = this->parts.clock.now();
-    if (!this->socket && now >= this->nextStart) {
-        this->start();
-    }
-    if (now >= this->nextPeerUpdate) {
-        this->nextPeerUpdate = now + kPeerUpdateInterval;
-        this->updatePeers();
-    }
+    this->evidence.setMembers(this->parts.membership.members());
     this->evidence.sweep(now, [this](upstreams::UpstreamId upstream) {
         const upstreams::UpstreamRecord *record = this->parts.registry.find(upstream);
         return record != nullptr && record->presence != upstreams::Presence::Gone;
     });
     this->logChanges(now);
     this->publishMetrics(now);
-    this->schedule();
-}
-
-void EvidenceExchange::updatePeers()
-{
-    const membership::IMembership &membership = this->parts.membership;
-    this->evidence.setMembers(membership.members());
-    this->peers.clear();
-    if (!this->evidence.isActive()) {
-        return;
-    }
-    for (const VmName &member : membership.members()) {
-        const auto offer = membership.relayOfferOf(member);
-        if (member != this->self && offer) {
-            this->peers.push_back({offer->address.address, this->local.port});
-        }
-    }
+    this->timer.wakeAt(this->evidence.nextDue());
 }
 
 void EvidenceExchange::logChanges(TimePoint now)
--- a/src/app/evidenceexchange.h
+++ b/src/app/evidenceexchange.h
@@ -1,15 +1,13 @@
 #pragma once
 
+#include "app/duetimer.h"
 #include "app/stalldetector.h"
 #include "evidence/sharedevidence.h"
 #include "global/name.h"
-#include "net/types/endpoint.h"
 
 #include <chrono>
 #include <cstdint>
-#include <memory>
-#include <optional>
-#include <vector>
+#include <span>
 
 namespace radishladder {
 class IClock;
@@ -21,9 +19,7 @@
 class IMembership;
 }
 namespace radishladder::net {
-class BatchSocket;
 class IEventLoop;
-struct TrafficMeter;
 }
 namespace radishladder::telemetry {
 class IEventLog;
@@ -34,9 +30,10 @@
 }
 
 namespace radishladder::app {
+class PeerSocket;
 
-//! Exchanges evidence of silent upstreams with the other VMs of the data centre over UDP. A VM
-//! whose socket cannot be opened uses only its own evidence, so the process does not depend on it.
+//! Exchanges evidence of silent upstreams with the other VMs of the data centre. A VM whose socket
+//! is not open uses only its own evidence.
 class EvidenceExchange
 {
 public:
@@ -46,20 +43,15 @@
         net::IEventLoop &loop;
         const IClock &clock;
         IRandom &random;
+        PeerSocket &socket;
         const membership::IMembership &membership;
         const upstreams::UpstreamRegistry &registry;
         const flows::FlowTable &table;
         telemetry::IEventLog &log;
         telemetry::IMetrics &metrics;
-        net::TrafficMeter &traffic;
     };
 
-    //! Receives at \a local and sends to the same port of each member's relay address.
-    EvidenceExchange(const Parts &parts, VmName self, const net::Endpoint &local);
-    ~EvidenceExchange();
-
-    //! Opens the socket; if that fails, logs the reason, and tick() tries again later.
-    void start();
+    EvidenceExchange(const Parts &parts, const VmName &self);
 
     evidence::ISharedEvidence &sharedEvidence() { return this->evidence; }
 
@@ -71,25 +63,15 @@
 
     //! Discards all evidence after a pause; returns true if datagrams may have been queued since.
     bool checkPause();
-    void receive();
-    void schedule();
+    void receive(std::span<const std::uint8_t> datagram);
     void sendDue();
-    void updatePeers();
     void logChanges(TimePoint now);
     void publishMetrics(TimePoint now);
 
     Parts parts;
-    VmName self;
-    net::Endpoint local;
     evidence::SharedEvidence evidence;
+    DueTimer timer;
     StallDetector stallDetector;
     bool wasPaused = false;
-    std::unique_ptr<net::BatchSocket> socket;
-    TimePoint nextStart;
-    std::vector<net::Endpoint> peers;
-    TimePoint nextPeerUpdate;
-
-    //! When the earliest timer expires; std::nullopt if there is none.
-    std::optional<TimePoint> timerDue;
 };
 }
--- a/src/app/storeview.cpp
+++ b/src/app/storeview.cpp
@@ -5,6 +5,8 @@
 #include "net/ihttpconnection.h"
 #include "platform/keys.h"
 #include "settings/types/vmsettings.h"
+#include "store/types/readkind.h"
+#include "store/types/storelisting.h"
 #include "telemetry/ieventlog.h"
 #include "telemetry/types/logentry.h"
 
@@ -128,11 +130,24 @@
         return;
     }
     this->isFollowing = true;
+    if (this->membersListedHandler) {
+        this->membersListedHandler();
+    }
     this->operatorFollower.start();
     this->upstreamFollower.start();
     this->freezePoller.start();
 }
 
+void StoreView::listFleet(AddressHandler handler)
+{
+    this->store.list(membership::LeaseMembership::fleetPrefix(), "", store::ReadKind::Stale,
+                     [handler = std::move(handler)](const store::StoreListing &page) {
+                         if (page.status == store::StoreStatus::Ok) {
+                             handler(membership::LeaseMembership::relayAddresses(page.items));
+                         }
+                     });
+}
+
 void StoreView::confirm(const flows::FlowDecision &decision)
 {
     if (decision.needsConfirmation) {
--- a/src/app/storeview.h
+++ b/src/app/storeview.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace radishladder {
 class IClock;
@@ -52,6 +53,7 @@
     using ConnectionFactory =
         std::function<std::unique_ptr<net::IHttpConnection>(const net::Endpoint &server)>;
     using ConnectionHandler = std::function<void(bool isConnected)>;
+    using AddressHandler = std::function<void(const std::vector<net::Endpoint> &relays)>;
 
     StoreView(const settings::VmSettings &settings, net::IEventLoop &loop, const IClock &clock,
               telemetry::IEventLog &log, routing::RouteTable &routes,
@@ -62,6 +64,17 @@
     //! the store is lost or restored.
     void start(ConnectionHandler handler);
 
+    //! Sets the function that is called when the members are listed for the first time, before the
+    //! configuration and the upstreams are; called without a list if the store is slow.
+    void setMembersListedHandler(std::function<void()> handler)
+    {
+        this->membersListedHandler = std::move(handler);
+    }
+
+    //! Lists the relay addresses of the VMs of all data centres, which may be seconds old;
+    //! \a handler is not called if the store refuses the call.
+    void listFleet(AddressHandler handler);
+
     //! Must be called a few times per second.
     void tick();
 
@@ -110,6 +123,7 @@
     switches::FreezeSwitch freezeSwitch;
     store::PrefixPoller freezePoller;
     ConnectionHandler connectionHandler;
+    std::function<void()> membersListedHandler;
     bool isFollowing = false;
 };
 }
--- a/src/app/tests/evidenceexchangetest.cpp
+++ b/src/app/tests/evidenceexchangetest.cpp
@@ -1,11 +1,11 @@
 #include "app/evidenceexchange.h"
 
+#include "app/peersocket.h"
 #include "flows/flowtable.h"
 #include "flows/types/flowrecord.h"
 #include "global/manualclock.h"
 #include "global/seededrandom.h"
-#include "membership/imembership.h"
-#include "membership/types/relayoffer.h"
+#include "loopbackmembership.h"
 #include "net/libeventloop.h"
 #include "net/types/trafficmeter.h"
 #include "telemetry/ieventlog.h"
@@ -31,43 +31,20 @@
     std::string text;
 };
 
-//! Eight members, each with its own address on the loopback network.
-class LoopbackMembership : public membership::IMembership
-{
-public:
-    LoopbackMembership()
-    {
-        for (int i = 1; i <= 8; ++i) {
-            this->names.emplace_back("vm" + std::to_string(i));
-        }
-    }
-
-    static std::uint32_t addressOf(const VmName &vm)
-    {
-        return 0x7f000100U + static_cast<std::uint32_t>(vm.str().back() - '0');
-    }
-    const std::vector<VmName> &members() const override { return this->names; }
-    std::optional<membership::RelayOffer> relayOfferOf(const VmName &member) const override
-    {
-        return membership::RelayOffer{.address = {addressOf(member), 1}, .mbps = 10};
-    }
-    bool isSettled() const override { return true; }
-
-private:
-    std::vector<VmName> names;
-};
-
 //! One VM with an exchange on its loopback address.
 struct ExchangeVm
 {
     ExchangeVm(net::IEventLoop &loop, const IClock &clock, const char *name, std::uint16_t port)
-        : exchange({loop, clock, this->random, this->membership, this->registry, this->table,
-                    this->log, this->metrics, this->traffic},
-                   VmName(name), {LoopbackMembership::addressOf(VmName(name)), port})
+        : socket({loop, clock, this->membership, this->log, this->traffic}, VmName(name),
+                 {LoopbackMembership::addressOf(VmName(name)), port}),
+          exchange({loop, clock, this->random, this->socket, this->membership, this->registry,
+                    this->table, this->log, this->metrics},
+                   VmName(name))
     {
         this->registry.update({.id = {7}}, clock.now());
         this->table.setSharedEvidence(&this->exchange.sharedEvidence());
-        this->exchange.start();
+        this->socket.start();
+        this->socket.tick();
         this->exchange.tick();
     }
 
@@ -94,6 +71,7 @@
     KeepingLog log;
     telemetry::PrometheusMetrics metrics;
     net::TrafficMeter traffic;
+    PeerSocket socket;
     EvidenceExchange exchange;
 };
 
--- a/src/app/vmprocess.cpp
+++ b/src/app/vmprocess.cpp
@@ -4,7 +4,9 @@
 #include "app/httpservers.h"
 #include "app/operationspages.h"
 #include "app/packetpath.h"
+#include "app/peersocket.h"
 #include "app/readiness.h"
+#include "app/sharedflowexchange.h"
 #include "app/stoppolicy.h"
 #include "app/storeview.h"
 #include "distribution/relayserver.h"
@@ -52,6 +54,10 @@
 //! Memory per flow, including its share of the table's overhead, in bytes.
 constexpr std::size_t kFlowBytes = 160;
 
+//! While a VM restarts in a data centre with fewer members than this, the routers may send its
+//! clients to other data centres.
+constexpr std::size_t kMinOwnMembers = 3;
+
 //! Flow records may use the configured memory divided by this number.
 constexpr std::size_t kFlowMemoryDivisor = 4;
 
@@ -107,8 +113,13 @@
 
     bool start();
     void addServers();
-    //! Shares evidence of silent upstreams with other VMs if the settings have an address for it.
-    void addEvidenceExchange();
+    //! Exchanges evidence and flows with other VMs if the settings have an address for it.
+    void addPeerExchanges();
+    //! Adds the VMs that get the clients of this data centre while none of its own VMs does.
+    void addNeighbours();
+    void requestSharedFlows();
+    //! Shares flows with the VMs that get the clients of this VM while it is out of rotation.
+    void updateLeaving();
     void watchSignals();
     void publishGauges();
     void publishServiceLoads();
@@ -143,17 +154,20 @@
     Readiness readiness;
     OperationsPages pages;
     PacketPath packetPath;
+    std::unique_ptr<PeerSocket> peerSocket;
     std::unique_ptr<EvidenceExchange> evidenceExchange;
+    std::unique_ptr<SharedFlowExchange> sharedFlowExchange;
     HttpServers servers;
     supervision::Supervisor supervisor;
     Reason reason;
+    bool isLeaving = false;
 };
 
 bool VmProcess::Parts::start()
 {
     this->startedAt = this->clock.now();
     this->supervisor.add(this->packetPath);
-    this->addEvidenceExchange();
+    this->addPeerExchanges();
     this->addServers();
     this->servers.registerWith(this->supervisor);
     if (!this->supervisor.start()) {
@@ -205,19 +219,59 @@
         });
 }
 
-void VmProcess::Parts::addEvidenceExchange()
+void VmProcess::Parts::addPeerExchanges()
 {
     if (!this->settings.peers) {
         return;
     }
-    this->evidenceExchange = std::make_unique<EvidenceExchange>(
-        EvidenceExchange::Parts{this->loop, this->clock, this->random, this->storeView.membership(),
-                                this->registry, this->table, this->log, this->metrics,
-                                this->controlTraffic},
+    const membership::IMembership &membership = this->storeView.membership();
+    this->peerSocket = std::make_unique<PeerSocket>(
+        PeerSocket::Parts{this->loop, this->clock, membership, this->log, this->controlTraffic},
         this->settings.name, *this->settings.peers);
+    this->evidenceExchange = std::make_unique<EvidenceExchange>(
+        EvidenceExchange::Parts{this->loop, this->clock, this->random, *this->peerSocket,
+                                membership, this->registry, this->table, this->log, this->metrics},
+        this->settings.name);
     this->table.setSharedEvidence(&this->evidenceExchange->sharedEvidence());
     this->director.setSharedEvidence(&this->evidenceExchange->sharedEvidence());
-    this->evidenceExchange->start();
+    this->sharedFlowExchange = std::make_unique<SharedFlowExchange>(SharedFlowExchange::Parts{
+        this->loop, this->clock, *this->peerSocket, this->table, this->metrics});
+    this->director.setSharedFlows(&this->sharedFlowExchange->sharedFlows());
+    this->storeView.setMembersListedHandler([this]() { this->requestSharedFlows(); });
+    this->peerSocket->start();
+}
+
+void VmProcess::Parts::requestSharedFlows()
+{
+    this->peerSocket->updateMembers();
+    this->sharedFlowExchange->requestFlows();
+    this->addNeighbours();
+}
+
+void VmProcess::Parts::addNeighbours()
+{
+    const bool isServedElsewhere = this->routes.isEvacuated(this->settings.dataCentre)
+        || this->storeView.membership().members().size() < kMinOwnMembers;
+    if (isServedElsewhere) {
+        this->storeView.listFleet([this](const std::vector<net::Endpoint> &relays) {
+            this->sharedFlowExchange->addNeighbours(relays);
+        });
+    }
+}
+
+void VmProcess::Parts::updateLeaving()
+{
+    const bool isLeavingNow = this->stopPolicy.isStopping() || this->readiness.isWithdrawn();
+    if (!this->sharedFlowExchange || isLeavingNow == this->isLeaving) {
+        return;
+    }
+    this->isLeaving = isLeavingNow;
+    this->director.setLeaving(isLeavingNow, this->clock.now());
+    if (isLeavingNow) {
+        this->addNeighbours();
+    } else {
+        this->sharedFlowExchange->requestFlows();
+    }
 }
 
 void VmProcess::Parts::watchSignals()
@@ -232,8 +286,10 @@
 {
     const auto now = this->clock.now();
     this->packetPath.recordRunning();
-    if (this->evidenceExchange) {
+    if (this->peerSocket) {
+        this->peerSocket->tick();
         this->evidenceExchange->tick();
+        this->sharedFlowExchange->tick(this->routes.idleTimeout());
     }
     this->storeView.tick();
     this->applyLimits();
@@ -241,6 +297,7 @@
     this->pacer.sweep(now);
     this->supervisor.supervise();
     this->readiness.tick();
+    this->updateLeaving();
     this->publishGauges();
     this->log.flush();
     if (!this->supervisor.isHealthy()) {
@@ -292,6 +349,7 @@
     }
     this->stopPolicy.requestStop(this->clock.now());
     this->storeView.leave();
+    this->updateLeaving();
     this->log.write(LogEntry(LogKind::State, "process.stopping"));
     this->loop.every(kStopCheckInterval, [this]() { this->exitIfAllowed(); });
 }
--- a/src/flows/flowdirector.h
+++ b/src/flows/flowdirector.h
@@ -36,6 +36,7 @@
 class OpenFlowDirector;
 class OpeningAdmission;
 class OpeningDirector;
+class SharedFlows;
 class Spilling;
 class SuspectFilter;
 struct DecisionInputs;
@@ -75,6 +76,13 @@
     //! Sets the evidence of other VMs; null if there is none.
     void setSharedEvidence(evidence::ISharedEvidence *shared);
 
+    //! Sets the flows that other VMs announce; null if there are none.
+    void setSharedFlows(SharedFlows *shared);
+
+    //! Sets whether this VM is leaving the rotation, or has left it: it then announces to other VMs
+    //! the flows whose next packets they may get before a token shows the upstream.
+    void setLeaving(bool isLeaving, TimePoint now);
+
     //! Replaces the limits; takes effect with the next packet.
     void setLimits(const DirectorLimits &changed) { this->limits = changed; }
 
--- a/src/flows/flowtable.h
+++ b/src/flows/flowtable.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <unordered_map>
 
 namespace radishladder::evidence {
@@ -32,6 +33,9 @@
     //! Returns the record of a flow; null if there is none.
     FlowRecord *find(const FlowKey &key);
 
+    //! Calls \a visit for each flow that has not opened yet.
+    void visitOpening(const std::function<void(const FlowKey &, const FlowRecord &)> &visit) const;
+
     //! Creates the record of a flow on \a upstream; returns null if the table is full.
     FlowRecord *insert(const FlowKey &key, upstreams::UpstreamId upstream, FlowPhase phase,
                        TimePoint now);
--- a/src/flows/internal/flowdirector.cpp
+++ b/src/flows/internal/flowdirector.cpp
@@ -46,6 +46,17 @@
     this->openFlowDirector->setSharedEvidence(shared);
 }
 
+void FlowDirector::setSharedFlows(SharedFlows *shared)
+{
+    this->openingDirector->setSharedFlows(shared);
+    this->openFlowDirector->setSharedFlows(shared);
+}
+
+void FlowDirector::setLeaving(bool isLeaving, TimePoint now)
+{
+    this->openingDirector->setLeaving(isLeaving, now);
+}
+
 FlowDecision FlowDirector::decide(const FlowPacket &packet, TimePoint now)
 {
     if (!this->isReady()) {
--- a/src/flows/internal/flowtable.cpp
+++ b/src/flows/internal/flowtable.cpp
@@ -35,6 +35,16 @@
     return found == this->records.end() ? nullptr : &found->second;
 }
 
+void FlowTable::visitOpening(
+    const std::function<void(const FlowKey &, const FlowRecord &)> &visit) const
+{
+    for (const auto &[key, record] : this->records) {
+        if (record.phase == FlowPhase::Opening) {
+            visit(key, record);
+        }
+    }
+}
+
 FlowRecord *FlowTable::insert(const FlowKey &key, upstreams::UpstreamId upstream, FlowPhase phase,
                               TimePoint now)
 {
--- a/src/flows/internal/openflowdirector.cpp
+++ b/src/flows/internal/openflowdirector.cpp
@@ -3,6 +3,7 @@
 #include "evidence/isharedevidence.h"
 #include "flows/flowtable.h"
 #include "flows/internal/decisions.h"
+#include "flows/sharedflows.h"
 #include "flows/types/directorlimits.h"
 #include "flows/types/flowpacket.h"
 #include "routing/routetable.h"
@@ -33,6 +34,10 @@
 //! upstream within this time.
 constexpr std::chrono::milliseconds kMaxListingLag{2500};
 
+//! Upstreams whose SYN+ACK was not acknowledged have stopped sending it this long after the SYN.
+//! Each one changes the token that the client sends.
+constexpr std::chrono::milliseconds kMaxSynAckTime{12000};
+
 //! Placeholder in the record of a flow whose token belongs to no listed upstream.
 constexpr upstreams::UpstreamId kUnknownUpstream{0};
 
@@ -90,6 +95,9 @@
         return refusal;
     }
     if (packet.isRst) {
+        if (this->sharedFlows != nullptr) {
+            this->sharedFlows->forget(packet.flow);
+        }
         this->table.erase(packet.flow);
         record = nullptr;
     } else if (packet.isFin && record != nullptr) {
@@ -108,8 +116,8 @@
 
 OpenFlowDirector::TrackedFlow OpenFlowDirector::track(const FlowPacket &packet, TimePoint now)
 {
-    TrackedFlow tracked{.record = this->table.find(packet.flow),
-                        .upstream = this->registry.findByToken(packet.token)};
+    FlowRecord *known = this->applyAnnouncement(packet, this->table.find(packet.flow), now);
+    TrackedFlow tracked{.record = known, .upstream = this->registry.findByToken(packet.token)};
     if (tracked.record == nullptr) {
         if (packet.token != 0) {
             tracked.record = this->insert(packet, tracked.upstream, now);
@@ -127,9 +135,71 @@
         restartWait(record, now);
         record.highestSequence = packet.sequence - 1;
     }
+    this->updateAnnouncement(packet, record, now);
     return tracked;
 }
 
+FlowRecord *OpenFlowDirector::applyAnnouncement(const FlowPacket &packet, FlowRecord *record,
+                                                TimePoint now)
+{
+    const SharedFlow *announced =
+        this->sharedFlows == nullptr ? nullptr : this->sharedFlows->find(packet);
+    const bool isKnownHere =
+        record != nullptr && (record->isUpstreamProven || record->phase == FlowPhase::Closing);
+    if (announced == nullptr || !announced->isOpen || isKnownHere) {
+        return record;
+    }
+    const SharedFlow flow = *announced;
+    if (record == nullptr) {
+        record = this->table.insert(packet.flow, flow.upstream, FlowPhase::Open, now);
+        if (record == nullptr) {
+            return nullptr;
+        }
+    } else {
+        this->table.reassign(*record, flow.upstream);
+        restartWait(*record, now);
+    }
+    record->phase = FlowPhase::Open;
+    record->acknowledged = packet.acknowledged;
+    record->highestSequence = packet.sequence - 1;
+    record->initialSequence = flow.initialSequence;
+    record->mayHaveOtherUpstream = true;
+    record->isUpstreamProven = true;
+    // The VM that announced the flow may end before it does.
+    this->sharedFlows->announce(packet.flow, flow, now);
+    return record;
+}
+
+void OpenFlowDirector::updateAnnouncement(const FlowPacket &packet, FlowRecord &record,
+                                          TimePoint now)
+{
+    const bool canProve = record.isUpstreamProven && record.phase == FlowPhase::Open;
+    if (this->sharedFlows == nullptr || !canProve) {
+        return;
+    }
+    const bool namesOther = packet.token != upstreams::flowToken(record.upstream);
+    record.mayHaveOtherUpstream = record.mayHaveOtherUpstream || (namesOther && packet.token != 0);
+    const SharedFlow *known = this->sharedFlows->find(packet);
+    if (!record.mayHaveOtherUpstream) {
+        if (known != nullptr) {
+            // The flow opened before other VMs needed its announcement.
+            this->sharedFlows->forget(packet.flow);
+        }
+        return;
+    }
+    if (known == nullptr || !known->isOpen) {
+        this->sharedFlows->announce(packet.flow,
+                                    {.upstream = record.upstream,
+                                     .initialSequence = record.initialSequence,
+                                     .isOpen = true,
+                                     .openingSince = record.recordedAt},
+                                    now);
+    } else if (!namesOther && now - known->openingSince > kMaxSynAckTime) {
+        record.mayHaveOtherUpstream = false;
+        this->sharedFlows->forget(packet.flow);
+    }
+}
+
 std::chrono::milliseconds OpenFlowDirector::recordOpened(const FlowPacket &packet,
                                                          FlowRecord &record,
                                                          const upstreams::UpstreamRecord &upstream,
@@ -138,7 +208,9 @@
     // The first packet after the SYN carries the token of the upstream whose response the client
     // accepted. A second upstream that responds later must not receive the flow.
     record.hasResponded = record.upstream == upstream.upstream.id;
+    record.isUpstreamProven = true;
     if (!record.hasResponded) {
+        record.mayHaveOtherUpstream = true;
         this->table.reassign(record, upstream.upstream.id);
     }
     const auto openingTime = elapsed(record.waitingSince, now);
--- a/src/flows/internal/openflowdirector.h
+++ b/src/flows/internal/openflowdirector.h
@@ -18,6 +18,7 @@
 
 namespace radishladder::flows {
 class FlowTable;
+class SharedFlows;
 struct DirectorLimits;
 struct FlowPacket;
 struct FlowRecord;
@@ -34,6 +35,7 @@
     FlowDecision decide(const FlowPacket &packet, TimePoint now);
 
     void setSharedEvidence(const evidence::ISharedEvidence *shared) { this->evidence = shared; }
+    void setSharedFlows(SharedFlows *flows) { this->sharedFlows = flows; }
 
 private:
     //! State found for the flow of a packet; null pointers if there is none.
@@ -49,6 +51,12 @@
     TrackedFlow track(const FlowPacket &packet, TimePoint now);
     FlowRecord *insert(const FlowPacket &packet, const upstreams::UpstreamRecord *upstream,
                        TimePoint now);
+    //! Applies what other VMs announced of the flow of \a packet to \a record, which is null if
+    //! there is none; returns the record.
+    FlowRecord *applyAnnouncement(const FlowPacket &packet, FlowRecord *record, TimePoint now);
+    //! Announces the flow if its client may send the token of another upstream; ends that once the
+    //! other upstream can't change the token any more.
+    void updateAnnouncement(const FlowPacket &packet, FlowRecord &record, TimePoint now);
     //! Marks the flow as open on \a upstream; returns the time that opening took.
     std::chrono::milliseconds recordOpened(const FlowPacket &packet, FlowRecord &record,
                                            const upstreams::UpstreamRecord &upstream,
@@ -96,5 +104,6 @@
     FlowTable &table;
     const DirectorLimits &limits;
     const evidence::ISharedEvidence *evidence = nullptr;
+    SharedFlows *sharedFlows = nullptr;
 };
 }
--- a/src/flows/internal/openingdirector.cpp
+++ b/src/flows/internal/openingdirector.cpp
@@ -5,6 +5,7 @@
 #include "flows/internal/openingadmission.h"
 #include "flows/internal/spilling.h"
 #include "flows/internal/suspectfilter.h"
+#include "flows/sharedflows.h"
 #include "flows/types/directorlimits.h"
 #include "flows/types/flowpacket.h"
 #include "global/hash.h"
@@ -61,14 +62,73 @@
     if (route == nullptr) {
         return refuseOpening(packet, ResultCode::FlowNoRoute);
     }
-    FlowRecord *record = this->table.find(packet.flow);
-    if (record != nullptr && packet.acknowledged == 0) {
-        // The client has opened a new flow from the port of an earlier one.
+    FlowRecord *record = this->findRecord(packet, now);
+    const FlowDecision decision = this->decideFor(packet, *route, record, now);
+    record = this->isLeaving ? this->table.find(packet.flow) : nullptr;
+    if (record != nullptr && record->phase == FlowPhase::Opening) {
+        this->announceOpening(packet.flow, *record, now);
+    }
+    return decision;
+}
+
+FlowDecision OpeningDirector::decideFor(const FlowPacket &packet, const routing::Route &route,
+                                        FlowRecord *record, TimePoint now)
+{
+    return record == nullptr ? this->place(packet, route, nullptr, now)
+                             : this->handleRetransmission(packet, route, *record, now);
+}
+
+FlowRecord *OpeningDirector::findRecord(const FlowPacket &packet, TimePoint now)
+{
+    if (packet.acknowledged == 0) {
+        // The client may have opened a new flow from the port of an earlier one.
         this->table.erase(packet.flow);
-        record = nullptr;
+        if (this->sharedFlows != nullptr) {
+            this->sharedFlows->forget(packet.flow);
+        }
+        return nullptr;
+    }
+    FlowRecord *record = this->table.find(packet.flow);
+    const SharedFlow *shared =
+        this->sharedFlows == nullptr ? nullptr : this->sharedFlows->find(packet);
+    if (record != nullptr || shared == nullptr) {
+        return record;
     }
-    return record == nullptr ? this->place(packet, *route, nullptr, now)
-                             : this->handleRetransmission(packet, *route, *record, now);
+    const FlowPhase phase = shared->isOpen ? FlowPhase::Open : FlowPhase::Opening;
+    record = this->table.insert(packet.flow, shared->upstream, phase, now);
+    if (record != nullptr) {
+        record->waitingSince = shared->openingSince;
+        record->initialSequence = packet.sequence;
+        record->highestSequence = packet.sequence;
+        record->mayHaveOtherUpstream = true;
+        record->isUpstreamProven = shared->isOpen;
+        this->table.setBusy(*record, !shared->isOpen);
+    }
+    return record;
+}
+
+void OpeningDirector::announceOpening(const FlowKey &flow, const FlowRecord &record, TimePoint now)
+{
+    if (this->sharedFlows == nullptr) {
+        return;
+    }
+    this->sharedFlows->announce(flow,
+                                {.upstream = record.upstream,
+                                 .initialSequence = record.initialSequence,
+                                 .openingSince = record.recordedAt},
+                                now);
+}
+
+void OpeningDirector::setLeaving(bool isLeavingNow, TimePoint now)
+{
+    const bool hasBegun = isLeavingNow && !this->isLeaving && this->sharedFlows != nullptr;
+    this->isLeaving = isLeavingNow;
+    if (!hasBegun) {
+        return;
+    }
+    this->table.visitOpening([this, now](const FlowKey &flow, const FlowRecord &record) {
+        this->announceOpening(flow, record, now);
+    });
 }
 
 FlowDecision OpeningDirector::handleRetransmission(const FlowPacket &packet,
@@ -171,6 +231,8 @@
         this->table.reassign(*record, id);
     }
     if (record != nullptr) {
+        record->mayHaveOtherUpstream = packet.acknowledged > 0;
+        record->initialSequence = packet.sequence;
         record->waitingSince = now;
         record->highestSequence = packet.sequence;
         this->table.setBusy(*record, true);
--- a/src/flows/internal/openingdirector.h
+++ b/src/flows/internal/openingdirector.h
@@ -34,9 +34,11 @@
 namespace radishladder::flows {
 class FlowTable;
 class OpeningAdmission;
+class SharedFlows;
 class Spilling;
 class SuspectFilter;
 struct DirectorLimits;
+struct FlowKey;
 struct FlowPacket;
 struct FlowRecord;
 
@@ -56,7 +58,20 @@
 
     FlowDecision decide(const FlowPacket &packet, TimePoint now);
 
+    //! Sets the flows that other VMs announce; null if there are none.
+    void setSharedFlows(SharedFlows *flows) { this->sharedFlows = flows; }
+
+    //! Sets whether this VM is leaving the rotation: the flows that have not opened yet, and new
+    //! ones, are then announced, since their next packets go through other VMs.
+    void setLeaving(bool isLeavingNow, TimePoint now);
+
 private:
+    //! Returns the record of the flow of \a packet; creates it if another VM has announced the
+    //! flow, and returns null if nothing is known of it.
+    FlowRecord *findRecord(const FlowPacket &packet, TimePoint now);
+    FlowDecision decideFor(const FlowPacket &packet, const routing::Route &route,
+                           FlowRecord *record, TimePoint now);
+    void announceOpening(const FlowKey &flow, const FlowRecord &record, TimePoint now);
     //! Forwards a retransmitted SYN to the upstream of \a record, or selects another upstream.
     FlowDecision handleRetransmission(const FlowPacket &packet, const routing::Route &route,
                                       FlowRecord &record, TimePoint now);
@@ -114,6 +129,8 @@
     VmName self;
     DataCentreName dataCentre;
     const DirectorLimits &limits;
+    SharedFlows *sharedFlows = nullptr;
+    bool isLeaving = false;
     placement::MemberHistory memberHistory;
 
     //! Upstreams and their candidates, at the same index; kept as members to reuse their memory.
--- a/src/flows/types/flowrecord.h
+++ b/src/flows/types/flowrecord.h
@@ -27,9 +27,20 @@
     //! that this VM knows.
     bool hasResponded = false;
 
+    //! Another upstream than this one may have accepted the flow too, and the client may send its
+    //! token.
+    bool mayHaveOtherUpstream = false;
+
+    //! This VM, or a peer that announced it, has seen which upstream the flow opened on. If not,
+    //! the upstream is that of the first token that this VM received.
+    bool isUpstreamProven = false;
+
     //! The flow is included in the silent flows of its upstream; cleared by the next response.
     bool isCountedAsSilent = false;
 
+    //! Sequence number of the SYN, if this VM has received it.
+    std::uint32_t initialSequence = 0;
+
     //! Highest sequence number and acknowledgement number that the client has sent.
     std::uint32_t highestSequence = 0;
     std::uint32_t acknowledged = 0;
--- a/src/membership/internal/leasemembership.cpp
+++ b/src/membership/internal/leasemembership.cpp
@@ -90,6 +90,23 @@
       retryInterval(kFirstRetryInterval), memberNames{this->self}
 { }
 
+std::string LeaseMembership::fleetPrefix()
+{
+    return kPrefix;
+}
+
+std::vector<net::Endpoint> LeaseMembership::relayAddresses(
+    const std::vector<store::StoreItem> &items)
+{
+    std::vector<net::Endpoint> addresses;
+    for (const store::StoreItem &item : items) {
+        if (const auto offer = parseOffer(item.value)) {
+            addresses.push_back(offer->address);
+        }
+    }
+    return addresses;
+}
+
 std::string LeaseMembership::prefix(const DataCentreName &dataCentre)
 {
     return kPrefix + dataCentre.str() + "/";
--- a/src/membership/leasemembership.h
+++ b/src/membership/leasemembership.h
@@ -48,6 +48,12 @@
     //! Returns the prefix of the keys of the members in \a dataCentre.
     static std::string prefix(const DataCentreName &dataCentre);
 
+    //! Returns the prefix of the keys of the members in all data centres.
+    static std::string fleetPrefix();
+
+    //! Returns the relay addresses in the keys of members \a items.
+    static std::vector<net::Endpoint> relayAddresses(const std::vector<store::StoreItem> &items);
+
     //! Acquires a lease, publishes this VM's key with it and keeps the lease renewed.
     void join();
 
--- a/tools/fuzz/fuzzplatform.cpp
+++ b/tools/fuzz/fuzzplatform.cpp
@@ -4,6 +4,9 @@
 #include "evidence/evidencecodec.h"
 #include "evidence/iownflows.h"
 #include "evidence/sharedevidence.h"
+#include "flows/sharedflowcodec.h"
+#include "flows/sharedflows.h"
+#include "flows/types/sharedflowdatagram.h"
 #include "global/hash.h"
 #include "global/manualclock.h"
 #include "global/seededrandom.h"
@@ -125,6 +128,26 @@
     while (shared.nextDatagram(out, clock.now() + std::chrono::seconds(1)) > 0) { }
 }
 
+//! Checks that a datagram of a peer that decodes is encoded to the same bytes, and that the flows
+//! in any datagram stay within their bounds.
+void fuzzSharedFlows(std::span<const std::uint8_t> bytes)
+{
+    const ManualClock clock;
+    const auto datagram = flows::decodeSharedFlows(bytes, clock.now());
+    std::array<std::uint8_t, flows::kMaxSharedFlowBytes> out{};
+    if (datagram
+        && (flows::encodeSharedFlows(*datagram, clock.now(), out) != bytes.size()
+            || !std::equal(bytes.begin(), bytes.end(), out.begin()))) {
+        std::abort();
+    }
+    constexpr std::size_t kCapacity = 8;
+    flows::SharedFlows shared(kCapacity);
+    const bool isReceived = shared.receive(bytes, clock.now(), [](auto) {});
+    if (isReceived != datagram.has_value() || shared.size() > kCapacity) {
+        std::abort();
+    }
+}
+
 //! Checks that the relay server gives at most one response to any request of a peer.
 void fuzzRelayRequest(const std::string &text)
 {
@@ -150,6 +173,7 @@
     const std::string text(rest.begin(), rest.end());
     fuzzPacket(rest);
     fuzzEvidence(rest);
+    fuzzSharedFlows(rest);
     fuzzRelayRequest(text);
     platform::EntryDecoder().decode({.key = "servers/i-1", .value = text});
     platform::ConfigurationDecoder().decode(text);
