distribution: delays of all stages come from the limit of their prefix

Cause: the relay's pause, the age up to which it reported no changes, its tick and the wait of its peers were constants of their own that nobody added up; any answer of the store, to any call, made the relay current for 2.6 s more; peers did not use the age that relays send.

Relays send how old their data is by the calls that the store answered while the watch was pending; peers ask so that the answer arrives in time, then ask the other relay at once, then the store. Relays renew their leases at the end of each pause and as often as the limit needs. A limit too short for two hops means no relays.

Why it works: what a peer accepts depends on the age of the data, whichever stage made it old. Resets still rest on the proven age, which is sent apart.

--- a/src/app/storeview.cpp
+++ b/src/app/storeview.cpp
@@ -10,14 +10,13 @@
 #include "telemetry/ieventlog.h"
 #include "telemetry/types/logentry.h"
 
+#include <algorithm>
+
 namespace radishladder::app {
 namespace {
-//! The delay between a watch response and the next watch is a part of the configured time limit
-//! within which watched changes must take effect: maxDrainDelay multiplied by the fraction, and
-//! maxConfigurationDelay divided by the divisor. Changes in quick succession thus arrive with one
-//! call and still well within the limit.
-constexpr double kUpstreamBatchFraction = 0.4;
-constexpr int kOperatorBatchDivisor = 6;
+//! Configurations come in quick succession and are large, so they wait for a shorter part of their
+//! limit than the limit allows.
+constexpr int kOperatorPauseDivisor = 6;
 
 //! The member list may be this old: it only determines which VM opens flows to an upstream in its
 //! warm-up, and the warm-up limits allow for two VMs that do so at once.
@@ -35,10 +34,10 @@
 //! Relays, which start without this delay, have listed all prefixes within this time.
 constexpr std::chrono::milliseconds kRelayStartDelay{400};
 
-std::chrono::milliseconds upstreamBatchDelay(std::chrono::milliseconds maxDrainDelay)
+store::DelayBudget operatorBudget(const settings::VmSettings &settings)
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(maxDrainDelay
-                                                                 * kUpstreamBatchFraction);
+    return store::DelayBudget(
+        std::min(settings.maxConfigurationDelay, settings.maxEvacuationDelay));
 }
 
 std::optional<membership::RelayOffer> ownRelayOffer(const settings::VmSettings &settings)
@@ -54,6 +53,7 @@
                      const IClock &clock, telemetry::IEventLog &log, routing::RouteTable &routes,
                      upstreams::UpstreamRegistry &registry, const ConnectionFactory &connect)
     : loop(loop), log(log), isFirstStart(settings.isFirstStart),
+      upstreamDelays(settings.maxDrainDelay), operatorDelays(operatorBudget(settings)),
       store([connect, server = settings.store]() { return connect(server); }),
       relayedStore(this->store, this->changeCache, loop, clock, log, connect, settings.name,
                    settings.seeds),
@@ -65,10 +65,12 @@
       upstreamListener(this->upstreamUpdater), operatorListener(this->routingUpdater),
       upstreamFollower(this->relayedStore, loop, this->upstreamListener, platform::kUpstreamPrefix,
                        {.watchWait = store::FollowerPacing::watchWaitFor(settings.maxStoreRecovery),
-                        .batchDelay = upstreamBatchDelay(settings.maxDrainDelay)}),
-      operatorFollower(this->relayedStore, loop, this->operatorListener, platform::kOperatorPrefix,
-                       {.watchWait = store::FollowerPacing::watchWaitFor(settings.maxStoreRecovery),
-                        .batchDelay = settings.maxConfigurationDelay / kOperatorBatchDivisor}),
+                        .batchDelay = this->upstreamDelays.relayPause()}),
+      operatorFollower(
+          this->relayedStore, loop, this->operatorListener, platform::kOperatorPrefix,
+          {.watchWait = store::FollowerPacing::watchWaitFor(settings.maxStoreRecovery),
+           .batchDelay = std::min(settings.maxConfigurationDelay / kOperatorPauseDivisor,
+                                  this->operatorDelays.relayPause())}),
       memberPoller(this->relayedStore, loop, this->leaseMembership,
                    membership::LeaseMembership::prefix(settings.dataCentre), kMemberPollInterval),
       freezeSwitch(settings.dataCentre, log),
@@ -76,6 +78,9 @@
                    kSwitchPollInterval)
 {
     this->relayedStore.setMembership(this->leaseMembership);
+    this->relayedStore.setBudget(std::string(platform::kUpstreamPrefix), this->upstreamDelays);
+    this->relayedStore.setBudget(std::string(platform::kOperatorPrefix), this->operatorDelays);
+    this->relayedStore.setPauseEndHandler([this]() { this->leaseMembership.checkStore(); });
     this->store.setEraTracker(this->relayedStore.eras());
     this->relayedStore.eras().addListener(
         [this](std::uint64_t oldEra, std::uint64_t newEra) { this->onEraChanged(oldEra, newEra); });
@@ -167,6 +172,17 @@
     this->relayServer.tick();
     this->relayedStore.tick();
     this->leaseMembership.setLiveRelay(this->relayedStore.hasLiveRelay());
+    this->updatePacing();
+}
+
+void StoreView::updatePacing()
+{
+    const bool isRelay = this->relayedStore.isRelay();
+    this->upstreamFollower.setBatchDelay(isRelay ? this->upstreamDelays.relayPause()
+                                                 : this->upstreamDelays.directPause());
+    this->leaseMembership.setRenewInterval(isRelay ? std::min(this->upstreamDelays.renewInterval(),
+                                                              this->operatorDelays.renewInterval())
+                                                   : membership::LeaseMembership::kRenewInterval);
 }
 
 void StoreView::onEraChanged(std::uint64_t oldEra, std::uint64_t newEra)
--- a/src/app/storeview.h
+++ b/src/app/storeview.h
@@ -8,6 +8,7 @@
 #include "platform/storeclient.h"
 #include "platform/upstreamprefixlistener.h"
 #include "routing/routingupdater.h"
+#include "store/delaybudget.h"
 #include "store/iconnectionlistener.h"
 #include "store/prefixfollower.h"
 #include "store/prefixpoller.h"
@@ -104,10 +105,14 @@
     void startAfterMemberList();
     void startAfterRelays();
     void startFollowers();
+    //! Sets the delays between calls to the store, which depend on whether this VM is a relay.
+    void updatePacing();
 
     net::IEventLoop &loop;
     telemetry::IEventLog &log;
     bool isFirstStart;
+    store::DelayBudget upstreamDelays;
+    store::DelayBudget operatorDelays;
     platform::StoreClient store;
     distribution::ChangeCache changeCache;
     distribution::RelayedStore relayedStore;
--- a/src/distribution/changecache.h
+++ b/src/distribution/changecache.h
@@ -67,6 +67,14 @@
     //! Records that a watch of \a prefix starts at the store, for changes after \a after.
     void recordWatch(const std::string &prefix, std::uint64_t after);
 
+    //! Records that the watch that starts at \a now waits for its response, or that it has ended.
+    void recordWatchPending(const std::string &prefix, BootTime now);
+    void recordWatchEnded(const std::string &prefix) { this->watchedSince.erase(prefix); }
+
+    //! Records that the store answered a linearizable call that was sent at \a sentAt. Changes
+    //! before that have been delivered by the watches that were pending then.
+    void recordAnsweredCall(BootTime sentAt);
+
     //! Adds the store's response to a watch of \a prefix for changes after \a after; the response
     //! includes every change until \a confirmedAt.
     void addChanges(const std::string &prefix, std::uint64_t after,
@@ -105,6 +113,8 @@
     //! Returns the time since the state of \a prefix was last confirmed; without a confirmation of
     //! its own, the time since this VM last received data of the store.
     std::chrono::milliseconds ageOf(const std::string &prefix, BootTime now) const;
+    //! Returns the same, with the times of recordAnsweredCall().
+    std::chrono::milliseconds freshAgeOf(const std::string &prefix, BootTime now) const;
     bool isFreshEnough(const std::string &prefix, SnapshotAge age, BootTime now) const;
     bool wasListedRecently(const std::string &prefix, BootTime now) const;
     void notifyListener() const;
@@ -124,6 +134,11 @@
     //! Time until which this VM has every change, by prefix.
     std::map<std::string, BootTime> confirmedAt;
 
+    //! When each pending watch was sent, and the time of the last call that was answered
+    //! meanwhile, by prefix.
+    std::map<std::string, BootTime> watchedSince;
+    std::map<std::string, BootTime> freshAt;
+
     //! Time at which the newest data was read from the store, by this VM or by another VM.
     BootTime dataReadAt{0};
     std::function<void()> listener;
--- a/src/distribution/internal/changecache.cpp
+++ b/src/distribution/internal/changecache.cpp
@@ -50,6 +50,20 @@
     this->dataReadAt = now;
 }
 
+void ChangeCache::recordWatchPending(const std::string &prefix, BootTime now)
+{
+    this->watchedSince[prefix] = now;
+}
+
+void ChangeCache::recordAnsweredCall(BootTime sentAt)
+{
+    for (const auto &[prefix, since] : this->watchedSince) {
+        if (sentAt >= since) {
+            this->freshAt[prefix] = std::max(this->freshAt[prefix], sentAt);
+        }
+    }
+}
+
 void ChangeCache::recordStoreLost()
 {
     this->lastResponseAt.reset();
@@ -202,6 +216,15 @@
     return std::chrono::ceil<std::chrono::milliseconds>(now - since);
 }
 
+std::chrono::milliseconds ChangeCache::freshAgeOf(const std::string &prefix, BootTime now) const
+{
+    const auto fresh = this->freshAt.find(prefix);
+    const auto age = this->ageOf(prefix, now);
+    return fresh == this->freshAt.end()
+        ? age
+        : std::min(age, std::chrono::ceil<std::chrono::milliseconds>(now - fresh->second));
+}
+
 RelayResponse ChangeCache::snapshot(const std::string &prefix, SnapshotAge age, BootTime now) const
 {
     const auto snapshot = this->snapshots.find(prefix);
@@ -214,7 +237,8 @@
     }
     return {.outcome = RelayOutcome::Changes,
             .listing = std::move(*listing),
-            .age = this->ageOf(prefix, now)};
+            .age = this->ageOf(prefix, now),
+            .freshAge = this->freshAgeOf(prefix, now)};
 }
 
 RelayResponse ChangeCache::changesAfter(const std::string &prefix, std::uint64_t after,
@@ -228,7 +252,9 @@
     if (!items) {
         return {.outcome = RelayOutcome::Unavailable};
     }
-    RelayResponse response{.outcome = RelayOutcome::NoChanges, .age = this->ageOf(prefix, now)};
+    RelayResponse response{.outcome = RelayOutcome::NoChanges,
+                           .age = this->ageOf(prefix, now),
+                           .freshAge = this->freshAgeOf(prefix, now)};
     response.listing.status = store::StoreStatus::Ok;
     response.listing.revision = std::max(after, log.lastRevision());
     response.listing.era = this->era();
--- a/src/distribution/internal/relaychoice.cpp
+++ b/src/distribution/internal/relaychoice.cpp
@@ -49,9 +49,9 @@
         return rendezvousScore(salt, candidate.name.str());
     });
 }
-}
 
-std::vector<net::Endpoint> relaysFor(const VmName &self, const membership::IMembership &membership)
+//! Returns the relays of the data centre, the same on all VMs; empty if it has none.
+std::vector<Candidate> chosenRelays(const membership::IMembership &membership)
 {
     std::vector<Candidate> relays = candidatesOf(membership);
     if (membership.members().size() < kMinMembers || relays.size() < kMinRelays) {
@@ -60,7 +60,19 @@
     sortByScore(relays, kRelaySalt);
     const std::size_t relayCount = membership.members().size() / kMembersPerRelay;
     relays.resize(std::clamp(relayCount, kMinRelays, relays.size()));
-    if (std::ranges::find(relays, self, &Candidate::name) != relays.end()) {
+    return relays;
+}
+
+bool contains(const std::vector<Candidate> &relays, const VmName &vm)
+{
+    return std::ranges::find(relays, vm, &Candidate::name) != relays.end();
+}
+}
+
+std::vector<net::Endpoint> relaysFor(const VmName &self, const membership::IMembership &membership)
+{
+    std::vector<Candidate> relays = chosenRelays(membership);
+    if (relays.empty() || contains(relays, self)) {
         return {};
     }
     // Every VM has its own order of preference, which spreads the peers over the relays.
@@ -73,4 +85,9 @@
     }
     return addresses;
 }
+
+bool isRelay(const VmName &self, const membership::IMembership &membership)
+{
+    return contains(chosenRelays(membership), self);
+}
 }
--- a/src/distribution/internal/relayclient.cpp
+++ b/src/distribution/internal/relayclient.cpp
@@ -46,6 +46,11 @@
     return this->membership != nullptr && !relaysFor(this->self, *this->membership).empty();
 }
 
+bool RelayClient::isRelay() const
+{
+    return this->membership != nullptr && distribution::isRelay(this->self, *this->membership);
+}
+
 std::optional<net::Endpoint> RelayClient::nextRelay() const
 {
     if (this->membership == nullptr) {
@@ -70,6 +75,11 @@
     return other == relays.end() ? std::nullopt : std::optional(*other);
 }
 
+void RelayClient::avoid(const net::Endpoint &relay)
+{
+    this->backoffUntil[relay] = this->clock.now() + kUnavailableBackoff;
+}
+
 bool RelayClient::isBackedOff(const net::Endpoint &relay) const
 {
     const auto backoff = this->backoffUntil.find(relay);
--- a/src/distribution/internal/relaycodec.cpp
+++ b/src/distribution/internal/relaycodec.cpp
@@ -17,6 +17,7 @@
 constexpr const char *kQueryStore = "askStore";
 constexpr const char *kChanges = "changes";
 constexpr const char *kAgeMs = "ageMs";
+constexpr const char *kFreshAgeMs = "freshMs";
 constexpr const char *kKey = "key";
 constexpr const char *kValue = "value";
 constexpr const char *kCreated = "created";
@@ -64,6 +65,9 @@
     }
     json[kQueryStore] = response.outcome == RelayOutcome::QueryStore;
     json[kAgeMs] = Json::Int64(response.age.count());
+    if (response.freshAge) {
+        json[kFreshAgeMs] = Json::Int64(response.freshAge->count());
+    }
     json[kChanges] = Json::arrayValue;
     for (const store::StoreItem &item : response.listing.items) {
         json[kChanges].append(itemJson(item));
@@ -78,6 +82,8 @@
     if (!json || !json->isObject() || !(*json)[kRevision].isUInt64()
         || !(*json)[kQueryStore].isBool() || !(*json)[kChanges].isArray()
         || !(*json)[kAgeMs].isInt64() || (*json)[kAgeMs].asInt64() < 0
+        || (json->isMember(kFreshAgeMs)
+            && (!(*json)[kFreshAgeMs].isInt64() || (*json)[kFreshAgeMs].asInt64() < 0))
         || (json->isMember(kEra) && !(*json)[kEra].isUInt64())) {
         return std::nullopt;
     }
@@ -87,6 +93,9 @@
     response.hasEra = json->isMember(kEra);
     response.listing.era = response.hasEra ? (*json)[kEra].asUInt64() : 0;
     response.age = std::chrono::milliseconds((*json)[kAgeMs].asInt64());
+    if (json->isMember(kFreshAgeMs)) {
+        response.freshAge = std::chrono::milliseconds((*json)[kFreshAgeMs].asInt64());
+    }
     for (const Json::Value &entry : (*json)[kChanges]) {
         auto item = parseItem(entry);
         if (!item) {
--- a/src/distribution/internal/relayedstore.cpp
+++ b/src/distribution/internal/relayedstore.cpp
@@ -100,6 +100,9 @@
     std::uint64_t revision = 0;
     std::chrono::milliseconds wait{0};
     ListingHandler handler;
+
+    //! A relay has failed to serve the watch; another one is queried without a wait.
+    bool isSecondTry = false;
 };
 
 RelayedStore::RelayedStore(store::IStore &store, ChangeCache &cache, net::IEventLoop &loop,
@@ -230,6 +233,9 @@
         this->cache.addRelayedListing(listing.prefix, page, now - *page.age);
     } else if (page.status == StoreStatus::Ok) {
         this->cache.addPage(listing.prefix, listing.kind, listing.afterKey, page, sent.boot, now);
+        if (listing.kind == store::ReadKind::Linearizable && listing.afterKey.empty()) {
+            this->recordFresh(listing.prefix, sent.steady);
+        }
     }
     const bool isConfirmed = !page.age && listing.kind == store::ReadKind::Linearizable;
     listing.handler(isConfirmed ? confirmedListing(page, sent.steady) : page);
@@ -295,6 +301,8 @@
         this->store.cancel(listing.prefix);
     }
     this->cache.addRelayedListing(listing.prefix, response.listing, sent.boot - response.age);
+    this->recordFresh(listing.prefix,
+                      sent.steady - response.freshAge.value_or(std::chrono::milliseconds(0)));
     const bool isConfirmed = listing.kind == store::ReadKind::Linearizable;
     listing.handler(isConfirmed
                         ? confirmedListing(response.listing, this->confirmationOf(response, sent))
@@ -306,27 +314,62 @@
 {
     const Watch watch{prefix, revision, wait, std::move(handler)};
     const auto relay = this->isStoreLost ? std::nullopt : this->relayClient.nextRelay();
-    if (relay) {
+    if (relay && this->allowsRelays(prefix)) {
         this->watchThroughRelay(*relay, watch);
     } else {
         this->watchAtStore(watch);
     }
 }
 
+bool RelayedStore::allowsRelays(const std::string &prefix) const
+{
+    const auto budget = this->budgets.find(prefix);
+    return budget == this->budgets.end() || budget->second.allowsRelays();
+}
+
+std::optional<std::chrono::milliseconds> RelayedStore::remainingTime(
+    const std::string &prefix) const
+{
+    const auto budget = this->budgets.find(prefix);
+    if (budget == this->budgets.end()) {
+        return std::nullopt;
+    }
+    const auto fresh = this->freshAt.find(prefix);
+    const TimePoint since = fresh == this->freshAt.end() ? TimePoint() : fresh->second;
+    const auto age = std::chrono::ceil<std::chrono::milliseconds>(this->clock.now() - since);
+    return std::max(budget->second.maxAge() - age, std::chrono::milliseconds(0));
+}
+
+void RelayedStore::recordFresh(const std::string &prefix, TimePoint time)
+{
+    TimePoint &fresh = this->freshAt[prefix];
+    fresh = std::max(fresh, time);
+}
+
 void RelayedStore::watchAtStore(const Watch &watch)
 {
     // From now on the cache can serve peers that have all changes up to this revision.
     this->cache.recordWatch(watch.prefix, watch.revision);
+    this->cache.recordWatchPending(watch.prefix, this->clock.timeSinceBoot());
     this->store.watch(watch.prefix, watch.revision, watch.wait,
                       [this, watch, sent = this->sendTime()](const StoreListing &received) {
                           const StoreListing response = this->checked(received, sent.steady);
+                          this->cache.recordWatchEnded(watch.prefix);
                           if (response.status == StoreStatus::Ok) {
+                              this->recordFresh(watch.prefix, sent.steady);
+                              if (!response.items.empty()) {
+                                  this->pausedPrefixes.insert(watch.prefix);
+                              }
                               this->cache.recordResponse(this->clock.timeSinceBoot());
                               this->cache.addChanges(watch.prefix, watch.revision, response,
                                                      sent.boot);
                           }
                           watch.handler(confirmedListing(response, sent.steady));
                       });
+    const bool hasPaused = this->pausedPrefixes.erase(watch.prefix) > 0;
+    if (hasPaused && this->pauseEndHandler && this->isRelay()) {
+        this->pauseEndHandler();
+    }
 }
 
 void RelayedStore::readChanges(const std::string &prefix, std::uint64_t revision,
@@ -342,25 +385,74 @@
 
 void RelayedStore::watchThroughRelay(const net::Endpoint &relay, const Watch &watch)
 {
+    using std::chrono::milliseconds;
+    constexpr milliseconds kCall = store::DelayBudget::kRelayCall;
+    constexpr milliseconds kTick = store::DelayBudget::kRelayTick;
     this->cache.stopRelaying(watch.prefix);
-    const net::HttpRequest request{.path = std::string(kChangesPath),
-                                   .query = changesQuery(watch.prefix, watch.revision,
-                                                         std::min(watch.wait, kRelayWatchWait),
-                                                         this->requestEra()),
-                                   .timeout = kRelayWatchWait + kRelayTimeoutMargin,
-                                   .maxDuration = kMaxRelayWatchDuration};
-    this->relayClient.send(
-        relay, watch.prefix, request,
-        [this, watch, sent = this->sendTime()](const std::optional<RelayResponse> &response) {
-            if (!response || response->outcome == RelayOutcome::QueryStore) {
-                this->watchAtStore(watch);
-                return;
-            }
-            this->cache.addRelayedChanges(watch.prefix, watch.revision, response->listing,
-                                          sent.boot - response->age, this->clock.timeSinceBoot());
-            watch.handler(
-                confirmedListing(response->listing, this->confirmationOf(*response, sent)));
-        });
+    milliseconds wait = std::min(watch.wait, kRelayWatchWait);
+    milliseconds timeout = kRelayWatchWait + kRelayTimeoutMargin;
+    milliseconds maxDuration = kMaxRelayWatchDuration;
+    if (const auto remaining = this->remainingTime(watch.prefix)) {
+        const milliseconds longest = this->budgets.at(watch.prefix).relayWait();
+        wait = std::clamp(*remaining - kCall - kTick, milliseconds(0), std::min(wait, longest));
+        timeout = std::clamp(*remaining, kCall, wait + kRelayTimeoutMargin);
+        maxDuration = std::clamp(*remaining, kCall, maxDuration);
+    }
+    if (watch.isSecondTry) {
+        wait = milliseconds(0);
+        timeout = kCall;
+    }
+    const net::HttpRequest request{
+        .path = std::string(kChangesPath),
+        .query = changesQuery(watch.prefix, watch.revision, wait, this->requestEra()),
+        .timeout = timeout,
+        .maxDuration = maxDuration};
+    this->relayClient.send(relay, watch.prefix, request,
+                           [this, relay, watch,
+                            sent = this->sendTime()](const std::optional<RelayResponse> &response) {
+                               this->onRelayChanges(relay, watch, response, sent);
+                           });
+}
+
+void RelayedStore::onRelayChanges(const net::Endpoint &relay, const Watch &watch,
+                                  const std::optional<RelayResponse> &response,
+                                  const SendTime &sent)
+{
+    if (!response || response->outcome == RelayOutcome::QueryStore) {
+        this->watchElsewhere(relay, watch);
+        return;
+    }
+    this->recordFresh(watch.prefix,
+                      sent.steady - response->freshAge.value_or(std::chrono::milliseconds(0)));
+    const auto remaining = this->remainingTime(watch.prefix);
+    const bool isTooOld = remaining && *remaining < store::DelayBudget::kMinRemaining;
+    if (isTooOld) {
+        this->relayClient.avoid(relay);
+    }
+    // Changes are of use however old they are.
+    if (isTooOld && response->listing.items.empty()) {
+        this->watchElsewhere(relay, watch);
+        return;
+    }
+    this->cache.addRelayedChanges(watch.prefix, watch.revision, response->listing,
+                                  sent.boot - response->age, this->clock.timeSinceBoot());
+    watch.handler(confirmedListing(response->listing, this->confirmationOf(*response, sent)));
+}
+
+void RelayedStore::watchElsewhere(const net::Endpoint &relay, const Watch &watch)
+{
+    // Load pattern: a relay is cut off or ends, and all its peers need another source in the same
+    // moment. The other relay costs the store no call.
+    const auto other = this->relayClient.otherRelay(relay);
+    const bool canTry = !watch.isSecondTry && this->budgets.contains(watch.prefix) && other
+        && !this->relayClient.isAvoided(*other);
+    if (!canTry) {
+        this->watchAtStore(watch);
+        return;
+    }
+    Watch second = watch;
+    second.isSecondTry = true;
+    this->watchThroughRelay(*other, second);
 }
 
 void RelayedStore::cancel(const std::string &prefix)
@@ -385,15 +477,16 @@
 
 void RelayedStore::renewLease(std::uint64_t lease, LeaseHandler handler)
 {
-    this->store.renewLease(lease,
-                           [this, handler = std::move(handler),
-                            sentAt = this->clock.now()](const StoreLease &received) {
-                               const StoreLease renewed = this->checked(received, sentAt);
-                               if (renewed.status == StoreStatus::Ok) {
-                                   this->cache.recordResponse(this->clock.timeSinceBoot());
-                               }
-                               handler(renewed);
-                           });
+    this->store.renewLease(
+        lease,
+        [this, handler = std::move(handler), sent = this->sendTime()](const StoreLease &received) {
+            const StoreLease renewed = this->checked(received, sent.steady);
+            if (renewed.status == StoreStatus::Ok) {
+                this->cache.recordAnsweredCall(sent.boot);
+                this->cache.recordResponse(this->clock.timeSinceBoot());
+            }
+            handler(renewed);
+        });
 }
 
 void RelayedStore::endLease(std::uint64_t lease, StatusHandler handler)
--- a/src/distribution/internal/relayserver.cpp
+++ b/src/distribution/internal/relayserver.cpp
@@ -10,8 +10,10 @@
 #include "net/query.h"
 #include "net/types/httprequest.h"
 #include "net/types/httpresponse.h"
+#include "store/delaybudget.h"
 
 #include <absl/strings/numbers.h>
+#include <algorithm>
 
 namespace radishladder::distribution {
 namespace {
@@ -34,11 +36,14 @@
 //! Bytes of listings sent between two ticks; more would delay changes on a narrow link.
 constexpr std::size_t kListingBytesPerTick = 1024 * 1024;
 
-//! Ages are rounded up to a multiple of this, so that peers that are served together get one body.
-constexpr std::chrono::milliseconds kAgeStep{100};
-
 constexpr const char *kCompressedType = "application/zlib";
 
+std::chrono::milliseconds roundedUp(std::chrono::milliseconds age)
+{
+    constexpr auto kStep = store::DelayBudget::kAgeStep;
+    return (age + kStep - std::chrono::milliseconds(1)) / kStep * kStep;
+}
+
 std::string fieldOf(const std::map<std::string, std::string> &fields, const char *name)
 {
     const auto field = fields.find(name);
@@ -107,6 +112,7 @@
                            .era = *era,
                            .acceptsCompressed =
                                fieldOf(fields, kEncodingField) == kCompressedEncoding,
+                           .arrivedAt = this->clock.now(),
                            .until = this->clock.now(),
                            .respond = respond};
     if (*age == SnapshotAge::New && !this->cache.hasSnapshot(pending.prefix)) {
@@ -133,6 +139,7 @@
          .after = after,
          .era = *era,
          .acceptsCompressed = fieldOf(fields, kEncodingField) == kCompressedEncoding,
+         .arrivedAt = this->clock.now(),
          .until = this->clock.now() + wait,
          .respond = respond});
 }
@@ -199,13 +206,29 @@
     return {.contentType = kCompressedType, .body = body};
 }
 
+std::chrono::milliseconds RelayServer::freshAgeAtArrival(const PendingRequest &pending,
+                                                         const RelayResponse &response) const
+{
+    // The peer knows when it sent the request, not how long it waited here. Changes go to all
+    // waiting peers in the same body, so their age stays that of the response.
+    if (response.outcome != RelayOutcome::NoChanges) {
+        return *response.freshAge;
+    }
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(this->clock.now()
+                                                                              - pending.arrivedAt);
+    return std::max(*response.freshAge - waited, std::chrono::milliseconds(0));
+}
+
 const std::string &RelayServer::bodyFor(const PendingRequest &pending,
                                         const RelayResponse &response)
 {
     RelayResponse rounded = response;
-    rounded.age = (response.age + kAgeStep - std::chrono::milliseconds(1)) / kAgeStep * kAgeStep;
-    const BodyKey key{pending.prefix, pending.after, rounded.listing.storeRevision(), rounded.age,
-                      pending.acceptsCompressed};
+    rounded.age = roundedUp(response.age);
+    if (response.freshAge) {
+        rounded.freshAge = roundedUp(this->freshAgeAtArrival(pending, response));
+    }
+    const BodyKey key{pending.prefix, pending.after,    rounded.listing.storeRevision(),
+                      rounded.age,    rounded.freshAge, pending.acceptsCompressed};
     const auto [body, isNew] = this->bodies.try_emplace(key);
     if (isNew) {
         body->second = relayText(rounded);
--- a/src/distribution/relaychoice.h
+++ b/src/distribution/relaychoice.h
@@ -18,4 +18,7 @@
 //! calls to the store grow with VMs times changes. On a narrow link, relaying changes costs more
 //! than it saves the store.
 std::vector<net::Endpoint> relaysFor(const VmName &self, const membership::IMembership &membership);
+
+//! Returns true if \a self is a relay for the other members.
+bool isRelay(const VmName &self, const membership::IMembership &membership);
 }
--- a/src/distribution/relayclient.h
+++ b/src/distribution/relayclient.h
@@ -55,6 +55,9 @@
     //! Returns true if this VM has relays, whether they respond or not.
     bool hasRelay() const;
 
+    //! Returns true if this VM is a relay for its peers.
+    bool isRelay() const;
+
     //! Returns the relay for the next request; std::nullopt if there is no relay or all relays
     //! are being avoided after failures.
     std::optional<net::Endpoint> nextRelay() const;
@@ -63,6 +66,10 @@
     //! there is none.
     std::optional<net::Endpoint> otherRelay(const net::Endpoint &relay) const;
 
+    //! Sends no new requests to \a relay for a moment, because its data is too old.
+    void avoid(const net::Endpoint &relay);
+    bool isAvoided(const net::Endpoint &relay) const { return this->isBackedOff(relay); }
+
     //! Sends \a request for \a prefix to \a relay; \a handler receives std::nullopt if the
     //! request fails.
     void send(const net::Endpoint &relay, const std::string &prefix,
--- a/src/distribution/relayedstore.h
+++ b/src/distribution/relayedstore.h
@@ -3,6 +3,7 @@
 #include "distribution/relayclient.h"
 #include "distribution/snapshotofferer.h"
 #include "distribution/startlister.h"
+#include "store/delaybudget.h"
 #include "store/eratracker.h"
 #include "store/iconnectionlistener.h"
 #include "store/istore.h"
@@ -12,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,6 +59,16 @@
     //! Returns true if this VM has relays, whether they respond or not.
     bool hasRelay() const { return this->relayClient.hasRelay(); }
 
+    //! Returns true if this VM is a relay for its peers.
+    bool isRelay() const { return this->relayClient.isRelay(); }
+
+    //! Sets the time within which changes under \a prefix must reach this VM; without it a relay
+    //! that responds is used whatever the age of its data.
+    void setBudget(const std::string &prefix, const store::DelayBudget &budget)
+    {
+        this->budgets.insert_or_assign(prefix, budget);
+    }
+
     void list(const std::string &prefix, const std::string &afterKey, store::ReadKind kind,
               ListingHandler handler) override;
     void watch(const std::string &prefix, std::uint64_t revision, std::chrono::milliseconds wait,
@@ -79,6 +91,14 @@
         this->relayClient.setConnectionHandler(std::move(handler));
     }
 
+    //! Sets the function that is called when this VM, as a relay, watches a prefix again after a
+    //! pause. Its data is as old as the pause until the store answers another call, which the
+    //! function makes.
+    void setPauseEndHandler(std::function<void()> handler)
+    {
+        this->pauseEndHandler = std::move(handler);
+    }
+
     //! Returns true if a relay has responded recently and thus would report at once that the store
     //! is lost, responds again or was restored from an older copy.
     bool hasLiveRelay() const;
@@ -121,6 +141,17 @@
                         const SendTime &sent);
     void watchAtStore(const Watch &watch);
     void watchThroughRelay(const net::Endpoint &relay, const Watch &watch);
+    void onRelayChanges(const net::Endpoint &relay, const Watch &watch,
+                        const std::optional<RelayResponse> &response, const SendTime &sent);
+    //! Continues a watch that \a relay could not serve in time through another relay, or at the
+    //! store.
+    void watchElsewhere(const net::Endpoint &relay, const Watch &watch);
+
+    //! Returns the time that is left until a relay must have shown that this VM has all changes
+    //! under \a prefix; std::nullopt if there is no limit.
+    std::optional<std::chrono::milliseconds> remainingTime(const std::string &prefix) const;
+    bool allowsRelays(const std::string &prefix) const;
+    void recordFresh(const std::string &prefix, TimePoint time);
 
     //! Returns the age of the data of this VM if neither the store nor a relay responds; otherwise
     //! std::nullopt.
@@ -139,6 +170,15 @@
     //! Time of the last call whose response showed the newest era.
     TimePoint eraShownAt;
 
+    //! Limits for the age of the data of relays, and the time until which this VM has all changes
+    //! as far as its relay or the store shows, by prefix.
+    std::map<std::string, store::DelayBudget> budgets;
+    std::map<std::string, TimePoint> freshAt;
+
+    //! Prefixes of which changes were received from the store since the last watch.
+    std::set<std::string> pausedPrefixes;
+    std::function<void()> pauseEndHandler;
+
     //! State of the last listing by prefix, shared with the callbacks of the listing.
     std::map<std::string, std::shared_ptr<ListingState>> listings;
 };
--- a/src/distribution/relayserver.h
+++ b/src/distribution/relayserver.h
@@ -60,14 +60,16 @@
         SnapshotAge age{};
         RelayEra era;
         bool acceptsCompressed = false;
+        std::chrono::steady_clock::time_point arrivedAt;
         std::chrono::steady_clock::time_point until;
         net::IHttpServer::Responder respond;
     };
 
     //! Identifies responses with equal bodies: prefix, revision after which changes are requested,
-    //! revision and age of the response, and whether the body is compressed.
-    using BodyKey = std::tuple<std::string, std::optional<std::uint64_t>, store::StoreRevision,
-                               std::chrono::milliseconds, bool>;
+    //! revision and ages of the response, and whether the body is compressed.
+    using BodyKey =
+        std::tuple<std::string, std::optional<std::uint64_t>, store::StoreRevision,
+                   std::chrono::milliseconds, std::optional<std::chrono::milliseconds>, bool>;
 
     void handleChanges(const net::HttpRequest &request, const net::IHttpServer::Responder &respond);
     void handleOffer(const net::HttpRequest &request, const net::IHttpServer::Responder &respond);
@@ -89,6 +91,9 @@
 
     //! Returns the response with a listing or changes, or with QueryStore if the data is too large.
     net::HttpResponse dataResponse(const PendingRequest &pending, const RelayResponse &response);
+    //! Returns the age of the data when \a pending arrived, 0 if it was read later.
+    std::chrono::milliseconds freshAgeAtArrival(const PendingRequest &pending,
+                                                const RelayResponse &response) const;
     const std::string &bodyFor(const PendingRequest &pending, const RelayResponse &response);
 
     ChangeCache &cache;
--- a/src/distribution/tests/testdatacentre.h
+++ b/src/distribution/tests/testdatacentre.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "distribution/changecache.h"
+#include "distribution/relaychoice.h"
 #include "distribution/relayedstore.h"
 #include "distribution/relayserver.h"
 #include "fakepeer.h"
@@ -8,6 +9,7 @@
 #include "membership/types/relayoffer.h"
 #include "net/manualeventloop.h"
 #include "standins/memorystore.h"
+#include "store/delaybudget.h"
 #include "store/iprefixlistener.h"
 #include "store/prefixfollower.h"
 #include "storelink.h"
@@ -16,6 +18,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -46,6 +49,17 @@
               follower(relayedStore, dataCentre.loop, *this, "up/",
                        {.watchWait = store::FollowerPacing::watchWaitFor(kStoreRecovery)})
         {
+            if (dataCentre.limit) {
+                const store::DelayBudget budget(*dataCentre.limit);
+                this->relayedStore.setPauseEndHandler([this]() {
+                    this->relayedStore.renewLease(1, [](const store::StoreLease &) {});
+                });
+                this->relayedStore.setBudget("up/", budget);
+                this->follower.setBatchDelay(
+                    isRelay(dataCentre.names[static_cast<std::size_t>(number)], dataCentre)
+                        ? budget.relayPause()
+                        : budget.directPause());
+            }
             this->link.hidesEra = dataCentre.isOfReleaseBefore(number);
             this->relayedStore.setMembership(dataCentre);
             this->relayedStore.eras().addListener(
@@ -98,9 +112,13 @@
         store::PrefixFollower follower;
     };
 
-    explicit TestDataCentre(int count, std::set<int> vmsOfReleaseBefore = {})
-        : releaseBefore(std::move(vmsOfReleaseBefore))
+    //! \a changeLimit is the time within which changes must reach every VM, if there is a limit.
+    explicit TestDataCentre(int count, std::set<int> vmsOfReleaseBefore = {},
+                            std::optional<std::chrono::milliseconds> changeLimit = std::nullopt)
+        : limit(changeLimit), releaseBefore(std::move(vmsOfReleaseBefore))
     {
+        const auto renewInterval = changeLimit ? store::DelayBudget(*changeLimit).renewInterval()
+                                               : std::chrono::milliseconds(2000);
         for (int i = 0; i < count; ++i) {
             this->names.emplace_back("obuda-" + std::to_string(i));
         }
@@ -109,7 +127,7 @@
         }
         for (auto &vm : this->vms) {
             vm->follower.start();
-            this->loop.every(std::chrono::seconds(2), [&vm]() {
+            this->loop.every(renewInterval, [&vm]() {
                 vm->relayedStore.renewLease(1, [](const store::StoreLease &) {});
             });
             this->loop.every(std::chrono::milliseconds(250), [&vm]() {
@@ -156,6 +174,7 @@
     //! Number of snapshot offers that the VMs have received.
     std::uint64_t offers = 0;
 
+    std::optional<std::chrono::milliseconds> limit;
     ManualClock clock;
     net::ManualEventLoop loop{this->clock};
     standins::MemoryStore store{this->loop};
--- a/src/distribution/types/relayresponse.h
+++ b/src/distribution/types/relayresponse.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace radishladder::distribution {
 
@@ -24,6 +25,11 @@
     //! The response includes every change that the store accepted until this long ago.
     std::chrono::milliseconds age{0};
 
+    //! The same, but shown by other calls that the store answered while the sender's watch was
+    //! pending: unlike \a age, no proof, since the connection of the watch may have failed.
+    //! std::nullopt if the sender is of a release that doesn't send it.
+    std::optional<std::chrono::milliseconds> freshAge;
+
     //! False if the response names no era, because the sender is of a release that knows none.
     bool hasEra = true;
 };
--- a/src/membership/internal/leasemembership.cpp
+++ b/src/membership/internal/leasemembership.cpp
@@ -22,9 +22,6 @@
 constexpr const char *kPrefix = "vms/";
 constexpr std::chrono::milliseconds kLeaseDuration{12000};
 
-//! Also bounds the time until a store failure is detected.
-constexpr std::chrono::milliseconds kRenewInterval{2000};
-
 //! Renewal interval while a relay notifies this VM of store failures.
 constexpr std::chrono::milliseconds kRelayedRenewInterval{5000};
 
@@ -87,7 +84,7 @@
       dataCentre(std::move(dataCentre)), relay(relay),
       random(hash64(this->self.str())
              ^ static_cast<std::uint64_t>(clock.now().time_since_epoch().count())),
-      retryInterval(kFirstRetryInterval), memberNames{this->self}
+      renewInterval(kRenewInterval), retryInterval(kFirstRetryInterval), memberNames{this->self}
 { }
 
 std::string LeaseMembership::fleetPrefix()
@@ -390,7 +387,7 @@
 
 void LeaseMembership::scheduleRenewal()
 {
-    this->schedule(this->hasLiveRelay ? kRelayedRenewInterval : kRenewInterval,
+    this->schedule(this->hasLiveRelay ? kRelayedRenewInterval : this->renewInterval,
                    &LeaseMembership::renew);
 }
 }
--- a/src/membership/leasemembership.h
+++ b/src/membership/leasemembership.h
@@ -64,6 +64,13 @@
     //! then calls the store less often.
     void setLiveRelay(bool isLive) { this->hasLiveRelay = isLive; }
 
+    //! Time between two renewals of a VM without a live relay; also bounds the time until a store
+    //! failure is detected.
+    static constexpr std::chrono::milliseconds kRenewInterval{2000};
+
+    //! Sets another interval: relays show by their renewals that they reach the store.
+    void setRenewInterval(std::chrono::milliseconds interval) { this->renewInterval = interval; }
+
     //! Makes the next scheduled call to the store at once to check whether the store responds.
     void checkStore();
 
@@ -123,6 +130,7 @@
     store::IConnectionListener *connectionListener = nullptr;
     bool isStoreLost = false;
     bool hasLiveRelay = false;
+    std::chrono::milliseconds renewInterval;
 
     //! Number of the latest timer; timers with an earlier number do nothing when they expire.
     std::uint64_t timerGeneration = 0;
--- a/src/store/prefixfollower.h
+++ b/src/store/prefixfollower.h
@@ -42,6 +42,10 @@
     //! Lists the prefix again, because a response to another call has a newer era.
     void onNewEra();
 
+    //! Sets the delay after a response of the store before the next watch, from the next response
+    //! on.
+    void setBatchDelay(std::chrono::milliseconds delay) { this->pacing.batchDelay = delay; }
+
     //! Returns false before the first snapshot.
     bool isSynchronized() const { return this->synchronized; }
     bool isConnected() const { return this->connected; }
