app: an evacuation ends once the upstreams' changes before it are known

Cause: the end of an evacuation and the entries of upstreams come over two watches. That of the upstreams pauses for 1.2 s after each change, so the end overtook entries that the store had accepted before it, and every VM took the upstreams for warm.

Change: an evacuation ends on a VM when its view of the upstreams has reached the revision at which it learned of the end; if it has not, it reads the changes at once. Where the configuration limits warm-ups, watches of the upstreams don't pause, and a VM that starts reads the changes once if its listing is older than the configuration.

Why it works: the order follows from revisions, not from which of two timers is shorter; what closes is not held back.

--- a/src/app/storeview.cpp
+++ b/src/app/storeview.cpp
@@ -4,6 +4,7 @@
 #include "net/ieventloop.h"
 #include "net/ihttpconnection.h"
 #include "platform/keys.h"
+#include "routing/routetable.h"
 #include "settings/types/vmsettings.h"
 #include "store/types/readkind.h"
 #include "store/types/storelisting.h"
@@ -11,6 +12,7 @@
 #include "telemetry/types/logentry.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace radishladder::app {
 namespace {
@@ -75,8 +77,12 @@
                    membership::LeaseMembership::prefix(settings.dataCentre), kMemberPollInterval),
       freezeSwitch(settings.dataCentre, log),
       freezePoller(this->relayedStore, loop, this->freezeSwitch, switches::FreezeSwitch::prefix(),
-                   kSwitchPollInterval)
+                   kSwitchPollInterval),
+      routes(routes)
 {
+    this->routingUpdater.setReturnHandler([this]() { this->awaitUpstreams(); });
+    this->upstreamFollower.setDeliveryHandler([this]() { this->onUpstreamsDelivered(); });
+    this->operatorFollower.setDeliveryHandler([this]() { this->onOperatorDelivered(); });
     this->relayedStore.setMembership(this->leaseMembership);
     this->relayedStore.setBudget(std::string(platform::kUpstreamPrefix), this->upstreamDelays);
     this->relayedStore.setBudget(std::string(platform::kOperatorPrefix), this->operatorDelays);
@@ -178,13 +184,51 @@
 void StoreView::updatePacing()
 {
     const bool isRelay = this->relayedStore.isRelay();
-    this->upstreamFollower.setBatchDelay(isRelay ? this->upstreamDelays.relayPause()
-                                                 : this->upstreamDelays.directPause());
+    const auto pause =
+        isRelay ? this->upstreamDelays.relayPause() : this->upstreamDelays.directPause();
+    if (this->routes.limitsWarmup()) {
+        // Each VM that takes an upstream for warm sends it flows at the full rate, so there is no
+        // time in which changes may be gathered.
+        this->upstreamFollower.setBatchDelays(std::chrono::milliseconds(0),
+                                              std::chrono::milliseconds(0));
+    } else {
+        this->upstreamFollower.setBatchDelays(pause, store::DelayBudget::kPeerPause);
+    }
     this->leaseMembership.setRenewInterval(isRelay ? std::min(this->upstreamDelays.renewInterval(),
                                                               this->operatorDelays.renewInterval())
                                                    : membership::LeaseMembership::kRenewInterval);
 }
 
+void StoreView::awaitUpstreams()
+{
+    this->awaitedRevision = std::max(this->awaitedRevision.value_or(store::StoreRevision()),
+                                     this->operatorFollower.delivered());
+    this->onUpstreamsDelivered();
+}
+
+void StoreView::onUpstreamsDelivered()
+{
+    if (!this->awaitedRevision) {
+        return;
+    }
+    if (this->upstreamFollower.delivered() < *this->awaitedRevision) {
+        this->upstreamFollower.confirm();
+        return;
+    }
+    this->awaitedRevision.reset();
+    this->routingUpdater.completeReturns();
+}
+
+void StoreView::onOperatorDelivered()
+{
+    this->updatePacing();
+    // A listing of the upstreams by a relay may be older than that of the evacuations.
+    const bool isFirst = !std::exchange(this->hasConfiguration, this->routes.isLoaded());
+    if (isFirst && this->routes.limitsWarmup()) {
+        this->awaitUpstreams();
+    }
+}
+
 void StoreView::onEraChanged(std::uint64_t oldEra, std::uint64_t newEra)
 {
     this->log.write(telemetry::LogEntry(telemetry::LogKind::State, "store.era_changed")
--- a/src/app/storeview.h
+++ b/src/app/storeview.h
@@ -18,6 +18,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace radishladder {
@@ -105,9 +106,16 @@
     void startAfterMemberList();
     void startAfterRelays();
     void startFollowers();
-    //! Sets the delays between calls to the store, which depend on whether this VM is a relay.
+    //! Sets the delays between calls to the store, which depend on whether this VM is a relay and
+    //! on the configuration.
     void updatePacing();
 
+    //! Lets changes that bring new flows to upstreams take effect only after all changes of the
+    //! upstreams that the store accepted before them.
+    void awaitUpstreams();
+    void onUpstreamsDelivered();
+    void onOperatorDelivered();
+
     net::IEventLoop &loop;
     telemetry::IEventLog &log;
     bool isFirstStart;
@@ -130,5 +138,11 @@
     ConnectionHandler connectionHandler;
     std::function<void()> membersListedHandler;
     bool isFollowing = false;
+
+    //! Revision that the upstreams must have reached before evacuations end; std::nullopt if none
+    //! has ended.
+    std::optional<store::StoreRevision> awaitedRevision;
+    routing::RouteTable &routes;
+    bool hasConfiguration = false;
 };
 }
--- a/src/distribution/tests/testdatacentre.h
+++ b/src/distribution/tests/testdatacentre.h
@@ -55,10 +55,11 @@
                     this->relayedStore.renewLease(1, [](const store::StoreLease &) {});
                 });
                 this->relayedStore.setBudget("up/", budget);
-                this->follower.setBatchDelay(
+                this->follower.setBatchDelays(
                     isRelay(dataCentre.names[static_cast<std::size_t>(number)], dataCentre)
                         ? budget.relayPause()
-                        : budget.directPause());
+                        : budget.directPause(),
+                    store::DelayBudget::kPeerPause);
             }
             this->link.hidesEra = dataCentre.isOfReleaseBefore(number);
             this->relayedStore.setMembership(dataCentre);
--- a/src/routing/internal/routetable.cpp
+++ b/src/routing/internal/routetable.cpp
@@ -69,6 +69,13 @@
     return this->removedAddresses.contains(address);
 }
 
+bool RouteTable::limitsWarmup() const
+{
+    return std::ranges::any_of(this->serviceLimits, [](const auto &entry) {
+        return entry.second.warmupFlowsPerSecond > 0;
+    });
+}
+
 ServiceLimits RouteTable::limits(const ServiceName &service) const
 {
     const auto limits = this->serviceLimits.find(service);
--- a/src/routing/internal/routingupdater.cpp
+++ b/src/routing/internal/routingupdater.cpp
@@ -93,6 +93,7 @@
 void RoutingUpdater::onEvacuated(const DataCentreName &dataCentre)
 {
     this->kept.erase(dataCentre);
+    this->returning.erase(dataCentre);
     if (this->table.evacuate(dataCentre, this->clock.now())) {
         this->log.write(
             LogEntry(LogKind::State, "data_centre.out").text("data_centre", dataCentre.str()));
@@ -102,6 +103,28 @@
 void RoutingUpdater::onEvacuationEnded(const DataCentreName &dataCentre)
 {
     this->kept.erase(dataCentre);
+    if (!this->table.isEvacuated(dataCentre)) {
+        return;
+    }
+    // The upstreams of a data centre that was empty are often cold, and their entries arrive over
+    // another watch than this change.
+    this->returning.insert(dataCentre);
+    if (this->returnHandler) {
+        this->returnHandler();
+    } else {
+        this->completeReturns();
+    }
+}
+
+void RoutingUpdater::completeReturns()
+{
+    for (const DataCentreName &dataCentre : std::exchange(this->returning, {})) {
+        this->endEvacuation(dataCentre);
+    }
+}
+
+void RoutingUpdater::endEvacuation(const DataCentreName &dataCentre)
+{
     if (this->table.endEvacuation(dataCentre)) {
         this->log.write(
             LogEntry(LogKind::State, "data_centre.in").text("data_centre", dataCentre.str()));
--- a/src/routing/routetable.h
+++ b/src/routing/routetable.h
@@ -44,6 +44,10 @@
     //! Returns the default limits if the configuration has none for \a service.
     ServiceLimits limits(const ServiceName &service) const;
 
+    //! Returns true if the configuration specifies for any service how many flows a cold upstream
+    //! accepts.
+    bool limitsWarmup() const;
+
     //! Returns null if \a service has no ranks: its routes have the same priority,
     //! or not all of them have a target latency.
     const RankedService *findRanks(const ServiceName &service) const;
--- a/src/routing/routingupdater.h
+++ b/src/routing/routingupdater.h
@@ -3,6 +3,7 @@
 #include "routing/iroutinglistener.h"
 
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <unordered_set>
 
@@ -26,6 +27,17 @@
     RoutingUpdater(RouteTable &table, const IClock &clock, telemetry::IEventLog &log,
                    std::chrono::milliseconds recoveryTime);
 
+    //! Sets the function that is called when evacuations have ended in the store. They end here
+    //! with completeReturns(); without a function, at once.
+    void setReturnHandler(std::function<void()> handler)
+    {
+        this->returnHandler = std::move(handler);
+    }
+
+    //! Ends the evacuations that have ended in the store: all changes of the upstreams until then
+    //! have been received.
+    void completeReturns();
+
     void onConfiguration(Configuration configuration) override;
     void onConfigurationRejected(const std::string &detail) override;
     void onEvacuations(const std::vector<DataCentreName> &evacuated) override;
@@ -36,6 +48,7 @@
 
 private:
     void keep(const DataCentreName &dataCentre);
+    void endEvacuation(const DataCentreName &dataCentre);
 
     RouteTable &table;
     const IClock &clock;
@@ -48,5 +61,9 @@
 
     //! Evacuations that the restored store lacks.
     std::unordered_set<DataCentreName> kept;
+
+    //! Data centres whose evacuations have ended in the store, but not here.
+    std::unordered_set<DataCentreName> returning;
+    std::function<void()> returnHandler;
 };
 }
--- a/src/store/internal/prefixfollower.cpp
+++ b/src/store/internal/prefixfollower.cpp
@@ -95,6 +95,7 @@
     this->listedItems.clear();
     this->applySnapshot(items, this->firstPageRevision);
     this->listener.onUpToDate(this->firstPageConfirmedAt);
+    this->notifyDelivery();
     this->schedule(page.isRelayed ? this->pacing.relayedBatchDelay : this->pacing.batchDelay,
                    &PrefixFollower::watch);
 }
@@ -192,6 +193,14 @@
         this->listener.onChanges(undelivered);
     }
     this->listener.onUpToDate(changes.confirmedAt);
+    this->notifyDelivery();
+}
+
+void PrefixFollower::notifyDelivery() const
+{
+    if (this->deliveryHandler) {
+        this->deliveryHandler();
+    }
 }
 
 void PrefixFollower::confirm()
--- a/src/store/prefixfollower.h
+++ b/src/store/prefixfollower.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -42,15 +43,28 @@
     //! Lists the prefix again, because a response to another call has a newer era.
     void onNewEra();
 
-    //! Sets the delay after a response of the store before the next watch, from the next response
-    //! on.
-    void setBatchDelay(std::chrono::milliseconds delay) { this->pacing.batchDelay = delay; }
+    //! Sets the delays before the next watch after a response of the store and after one of a
+    //! relay, from the next response on.
+    void setBatchDelays(std::chrono::milliseconds delay, std::chrono::milliseconds relayedDelay)
+    {
+        this->pacing.batchDelay = delay;
+        this->pacing.relayedBatchDelay = relayedDelay;
+    }
+
+    //! Sets the function that is called whenever the listener has received a snapshot or changes.
+    void setDeliveryHandler(std::function<void()> handler)
+    {
+        this->deliveryHandler = std::move(handler);
+    }
 
     //! Returns false before the first snapshot.
     bool isSynchronized() const { return this->synchronized; }
     bool isConnected() const { return this->connected; }
     StoreRevision revision() const { return this->seenRevision; }
 
+    //! Returns the revision up to which the listener has received all changes.
+    StoreRevision delivered() const { return this->deliveredRevision; }
+
 private:
     void listFrom(const std::string &afterKey);
     void onPage(const StoreListing &page);
@@ -66,6 +80,7 @@
     bool isOfOtherEra(const StoreListing &changes);
     void endConfirmation();
     void deliver(const StoreListing &changes);
+    void notifyDelivery() const;
     void watchAgain();
     //! Cancels all calls and timers of this follower.
     void cancelCalls();
@@ -99,6 +114,7 @@
     //! True between onStoreLost() and onStoreRestored().
     bool isStoreLost = false;
     std::chrono::milliseconds retryDelay;
+    std::function<void()> deliveryHandler;
 
     //! Items of the pages received so far, while the prefix is listed.
     std::vector<StoreItem> listedItems;
