upstreams: an invalid entry does not show that its upstream has ended

Cause: onUpstreamRejected() removed the upstream as ended.

Change: an invalid entry keeps new flows away until a valid one or the removal comes; a listing that has the key with an invalid entry ends nothing.

--- a/src/upstreams/internal/upstreamregistry.cpp
+++ b/src/upstreams/internal/upstreamregistry.cpp
@@ -30,6 +30,7 @@
         record.startReceivedAt = now;
     }
     record.upstream = upstream;
+    record.hasInvalidEntry = false;
     record.receivedAt = now;
     record.warmAt = now + upstream.warmupLeft;
     this->setPresence(record, Presence::Present, now);
@@ -72,6 +73,7 @@
     if (found == this->records.end() || found->second->presence == Presence::Gone) {
         return;
     }
+    found->second->hasInvalidEntry = false;
     // A draining upstream has announced its end, so its missing entry needs no confirmation.
     const bool hasEnded = isStoreStable || found->second->upstream.draining;
     this->setPresence(*found->second, hasEnded ? Presence::Gone : Presence::Doubtful, now);
@@ -85,6 +87,14 @@
     }
 }
 
+void UpstreamRegistry::markInvalid(UpstreamId id)
+{
+    const auto found = this->records.find(id);
+    if (found != this->records.end()) {
+        found->second->hasInvalidEntry = true;
+    }
+}
+
 std::vector<UpstreamId> UpstreamRegistry::markDoubtfulAsGone(TimePoint now)
 {
     std::vector<UpstreamId> ended;
--- a/src/upstreams/internal/upstreamupdater.cpp
+++ b/src/upstreams/internal/upstreamupdater.cpp
@@ -61,7 +61,7 @@
     std::vector<UpstreamId> missing;
     for (const UpstreamId id : this->registry.liveIds()) {
         const bool isDoubtful = this->registry.find(id)->presence == Presence::Doubtful;
-        if (!listed.contains(id) && !isDoubtful) {
+        if (!listed.contains(id) && !isDoubtful && !this->rejectedInListing.contains(id)) {
             missing.push_back(id);
         }
     }
@@ -168,11 +168,13 @@
     this->log.write(
         LogEntry(LogKind::State, "upstream.rejected").text("key", key).text("detail", detail));
     this->heldBack.erase(id);
+    this->rejectedInListing.insert(id);
+    // Another writer may have replaced the entry of a live upstream, which writes its own again
+    // with its next heartbeat.
+    this->registry.markInvalid(id);
     if (this->isRecovering) {
         // The copy may have an invalid entry that the upstream has already replaced.
         this->registry.markDoubtful(id, this->clock.now());
-    } else {
-        this->registry.remove(id, true, this->clock.now());
     }
 }
 
--- a/src/upstreams/iupstreamlistener.h
+++ b/src/upstreams/iupstreamlistener.h
@@ -16,7 +16,11 @@
 public:
     virtual ~IUpstreamListener() = default;
 
-    //! Called with all upstreams that have an entry; upstreams not in \a all have no entry.
+    //! Called before the entries of a complete listing are reported, invalid ones first.
+    virtual void onListingBegins() { }
+
+    //! Called with all upstreams that have a valid entry; the others have none, or one that was
+    //! rejected since onListingBegins().
     virtual void onUpstreamsListed(const std::vector<Upstream> &all) = 0;
 
     //! Called when the entry of \a upstream was added or changed.
--- a/src/upstreams/types/upstreamrecord.h
+++ b/src/upstreams/types/upstreamrecord.h
@@ -29,11 +29,15 @@
     //! new flows.
     bool hasTokenConflict = false;
 
+    //! True while the entry of the upstream is invalid: it then gets no new flows, but nothing
+    //! shows that it has ended.
+    bool hasInvalidEntry = false;
+
     bool isCold(std::chrono::steady_clock::time_point now) const { return now < this->warmAt; }
     bool acceptsNewFlows() const
     {
         return this->presence != Presence::Gone && !this->upstream.draining
-            && !this->hasTokenConflict;
+            && !this->hasTokenConflict && !this->hasInvalidEntry;
     }
 };
 }
--- a/src/upstreams/upstreamregistry.h
+++ b/src/upstreams/upstreamregistry.h
@@ -41,6 +41,9 @@
     //! store lacks does not show that the upstream has ended.
     void markDoubtful(UpstreamId id, TimePoint now);
 
+    //! Records that the entry of \a id is invalid; update() and remove() end that.
+    void markInvalid(UpstreamId id);
+
     //! Marks every doubtful upstream as gone and returns these upstreams. Called once the store has
     //! been stable long enough for live upstreams to write their entries again.
     std::vector<UpstreamId> markDoubtfulAsGone(TimePoint now);
--- a/src/upstreams/upstreamupdater.h
+++ b/src/upstreams/upstreamupdater.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace radishladder {
 class IClock;
@@ -25,6 +26,7 @@
 public:
     UpstreamUpdater(UpstreamRegistry &registry, const IClock &clock, telemetry::IEventLog &log);
 
+    void onListingBegins() override { this->rejectedInListing.clear(); }
     void onUpstreamsListed(const std::vector<Upstream> &all) override;
     void onUpstreamChanged(const Upstream &upstream) override;
     void onUpstreamRemoved(UpstreamId id) override;
@@ -76,6 +78,9 @@
     //! of another start than the known one only until the end of the recovery.
     std::unordered_map<UpstreamId, Upstream> heldBack;
 
+    //! Upstreams whose entries were rejected since the last listing began.
+    std::unordered_set<UpstreamId> rejectedInListing;
+
     std::chrono::steady_clock::time_point removalWindowStart;
     std::size_t removalCount = 0;
 
