distribution: the times of requests to relays are a class of their own

RelayDeadlines has the limits of each prefix, the age of the data and the times of a request; it does no I/O, so it reads as the arithmetic that it is.

--- a/src/distribution/internal/relayedstore.cpp
+++ b/src/distribution/internal/relayedstore.cpp
@@ -1,6 +1,7 @@
 #include "distribution/relayedstore.h"
 
 #include "distribution/changecache.h"
+#include "distribution/internal/relaydeadlines.h"
 #include "distribution/relayprotocol.h"
 #include "distribution/types/relayera.h"
 #include "distribution/types/relayresponse.h"
@@ -21,15 +22,6 @@
 using store::StoreListing;
 using store::StoreStatus;
 
-//! Longest wait of a watch at a relay. With the margin, it bounds how long a relay that is paused
-//! or unreachable delays changes.
-constexpr std::chrono::milliseconds kRelayWatchWait{1000};
-constexpr std::chrono::milliseconds kRelayTimeoutMargin{600};
-
-//! Longest time until changes have arrived completely; bounds how long a relay whose link is
-//! narrowed delays changes.
-constexpr std::chrono::milliseconds kMaxRelayWatchDuration{2000};
-
 //! If a relay takes longer to respond to a linearizable listing, the VM also lists from the store,
 //! so that a failed relay delays the start of the VM only briefly.
 constexpr std::chrono::milliseconds kStoreFallbackDelay{25};
@@ -111,7 +103,8 @@
                            std::vector<net::Endpoint> seeds)
     : store(store), cache(cache), loop(loop), clock(clock), relayClient(clock, log, connect, self),
       startLister(store, clock, log, connect, std::move(seeds)),
-      snapshotOfferer(clock, connect, std::move(self))
+      snapshotOfferer(clock, connect, std::move(self)),
+      deadlines(std::make_unique<RelayDeadlines>())
 {
     this->relayClient.setEraTracker(this->eraTracker);
     this->startLister.setEraTracker(this->eraTracker);
@@ -121,6 +114,11 @@
 
 RelayedStore::~RelayedStore() = default;
 
+void RelayedStore::setBudget(const std::string &prefix, const store::DelayBudget &budget)
+{
+    this->deadlines->setBudget(prefix, budget);
+}
+
 StoreListing RelayedStore::checked(const StoreListing &response, TimePoint sentAt)
 {
     if (!showsEra(response) || response.age || this->acceptEraOf(response.era, sentAt)) {
@@ -234,7 +232,7 @@
     } else if (page.status == StoreStatus::Ok) {
         this->cache.addPage(listing.prefix, listing.kind, listing.afterKey, page, sent.boot, now);
         if (listing.kind == store::ReadKind::Linearizable && listing.afterKey.empty()) {
-            this->recordFresh(listing.prefix, sent.steady);
+            this->deadlines->recordFresh(listing.prefix, sent.steady);
         }
     }
     const bool isConfirmed = !page.age && listing.kind == store::ReadKind::Linearizable;
@@ -301,8 +299,8 @@
         this->store.cancel(listing.prefix);
     }
     this->cache.addRelayedListing(listing.prefix, response.listing, sent.boot - response.age);
-    this->recordFresh(listing.prefix,
-                      sent.steady - response.freshAge.value_or(std::chrono::milliseconds(0)));
+    this->deadlines->recordFresh(
+        listing.prefix, sent.steady - response.freshAge.value_or(std::chrono::milliseconds(0)));
     const bool isConfirmed = listing.kind == store::ReadKind::Linearizable;
     listing.handler(isConfirmed
                         ? confirmedListing(response.listing, this->confirmationOf(response, sent))
@@ -314,38 +312,13 @@
 {
     const Watch watch{prefix, revision, wait, std::move(handler)};
     const auto relay = this->isStoreLost ? std::nullopt : this->relayClient.nextRelay();
-    if (relay && this->allowsRelays(prefix)) {
+    if (relay && this->deadlines->allowsRelays(prefix)) {
         this->watchThroughRelay(*relay, watch);
     } else {
         this->watchAtStore(watch);
     }
 }
 
-bool RelayedStore::allowsRelays(const std::string &prefix) const
-{
-    const auto budget = this->budgets.find(prefix);
-    return budget == this->budgets.end() || budget->second.allowsRelays();
-}
-
-std::optional<std::chrono::milliseconds> RelayedStore::remainingTime(
-    const std::string &prefix) const
-{
-    const auto budget = this->budgets.find(prefix);
-    if (budget == this->budgets.end()) {
-        return std::nullopt;
-    }
-    const auto fresh = this->freshAt.find(prefix);
-    const TimePoint since = fresh == this->freshAt.end() ? TimePoint() : fresh->second;
-    const auto age = std::chrono::ceil<std::chrono::milliseconds>(this->clock.now() - since);
-    return std::max(budget->second.maxAge() - age, std::chrono::milliseconds(0));
-}
-
-void RelayedStore::recordFresh(const std::string &prefix, TimePoint time)
-{
-    TimePoint &fresh = this->freshAt[prefix];
-    fresh = std::max(fresh, time);
-}
-
 void RelayedStore::watchAtStore(const Watch &watch)
 {
     // From now on the cache can serve peers that have all changes up to this revision.
@@ -356,7 +329,7 @@
                           const StoreListing response = this->checked(received, sent.steady);
                           this->cache.recordWatchEnded(watch.prefix);
                           if (response.status == StoreStatus::Ok) {
-                              this->recordFresh(watch.prefix, sent.steady);
+                              this->deadlines->recordFresh(watch.prefix, sent.steady);
                               if (!response.items.empty()) {
                                   this->pausedPrefixes.insert(watch.prefix);
                               }
@@ -385,28 +358,15 @@
 
 void RelayedStore::watchThroughRelay(const net::Endpoint &relay, const Watch &watch)
 {
-    using std::chrono::milliseconds;
-    constexpr milliseconds kCall = store::DelayBudget::kRelayCall;
-    constexpr milliseconds kTick = store::DelayBudget::kRelayTick;
     this->cache.stopRelaying(watch.prefix);
-    milliseconds wait = std::min(watch.wait, kRelayWatchWait);
-    milliseconds timeout = kRelayWatchWait + kRelayTimeoutMargin;
-    milliseconds maxDuration = kMaxRelayWatchDuration;
-    if (const auto remaining = this->remainingTime(watch.prefix)) {
-        const milliseconds longest = this->budgets.at(watch.prefix).relayWait();
-        wait = std::clamp(*remaining - kCall - kTick, milliseconds(0), std::min(wait, longest));
-        timeout = std::clamp(*remaining, kCall, wait + kRelayTimeoutMargin);
-        maxDuration = std::clamp(*remaining, kCall, maxDuration);
-    }
-    if (watch.isSecondTry) {
-        wait = milliseconds(0);
-        timeout = kCall;
-    }
+    const RelayDeadlines::Timing timing = watch.isSecondTry
+        ? RelayDeadlines::immediateTiming()
+        : this->deadlines->timingFor(watch.prefix, watch.wait, this->clock.now());
     const net::HttpRequest request{
         .path = std::string(kChangesPath),
-        .query = changesQuery(watch.prefix, watch.revision, wait, this->requestEra()),
-        .timeout = timeout,
-        .maxDuration = maxDuration};
+        .query = changesQuery(watch.prefix, watch.revision, timing.wait, this->requestEra()),
+        .timeout = timing.timeout,
+        .maxDuration = timing.maxDuration};
     this->relayClient.send(relay, watch.prefix, request,
                            [this, relay, watch,
                             sent = this->sendTime()](const std::optional<RelayResponse> &response) {
@@ -422,10 +382,9 @@
         this->watchElsewhere(relay, watch);
         return;
     }
-    this->recordFresh(watch.prefix,
-                      sent.steady - response->freshAge.value_or(std::chrono::milliseconds(0)));
-    const auto remaining = this->remainingTime(watch.prefix);
-    const bool isTooOld = remaining && *remaining < store::DelayBudget::kMinRemaining;
+    this->deadlines->recordFresh(
+        watch.prefix, sent.steady - response->freshAge.value_or(std::chrono::milliseconds(0)));
+    const bool isTooOld = this->deadlines->isTooOld(watch.prefix, this->clock.now());
     if (isTooOld) {
         this->relayClient.avoid(relay);
     }
@@ -444,7 +403,7 @@
     // Load pattern: a relay is cut off or ends, and all its peers need another source in the same
     // moment. The other relay costs the store no call.
     const auto other = this->relayClient.otherRelay(relay);
-    const bool canTry = !watch.isSecondTry && this->budgets.contains(watch.prefix) && other
+    const bool canTry = !watch.isSecondTry && this->deadlines->hasBudget(watch.prefix) && other
         && !this->relayClient.isAvoided(*other);
     if (!canTry) {
         this->watchAtStore(watch);
--- a/src/distribution/relayedstore.h
+++ b/src/distribution/relayedstore.h
@@ -3,7 +3,6 @@
 #include "distribution/relayclient.h"
 #include "distribution/snapshotofferer.h"
 #include "distribution/startlister.h"
-#include "store/delaybudget.h"
 #include "store/eratracker.h"
 #include "store/iconnectionlistener.h"
 #include "store/istore.h"
@@ -26,12 +25,16 @@
 namespace radishladder::net {
 class IEventLoop;
 }
+namespace radishladder::store {
+class DelayBudget;
+}
 namespace radishladder::telemetry {
 class IEventLog;
 }
 
 namespace radishladder::distribution {
 class ChangeCache;
+class RelayDeadlines;
 struct RelayEra;
 
 //! Store client that sends listings and watches to a relay while a relay can serve them. Every
@@ -64,10 +67,7 @@
 
     //! Sets the time within which changes under \a prefix must reach this VM; without it a relay
     //! that responds is used whatever the age of its data.
-    void setBudget(const std::string &prefix, const store::DelayBudget &budget)
-    {
-        this->budgets.insert_or_assign(prefix, budget);
-    }
+    void setBudget(const std::string &prefix, const store::DelayBudget &budget);
 
     void list(const std::string &prefix, const std::string &afterKey, store::ReadKind kind,
               ListingHandler handler) override;
@@ -147,12 +147,6 @@
     //! store.
     void watchElsewhere(const net::Endpoint &relay, const Watch &watch);
 
-    //! Returns the time that is left until a relay must have shown that this VM has all changes
-    //! under \a prefix; std::nullopt if there is no limit.
-    std::optional<std::chrono::milliseconds> remainingTime(const std::string &prefix) const;
-    bool allowsRelays(const std::string &prefix) const;
-    void recordFresh(const std::string &prefix, TimePoint time);
-
     //! Returns the age of the data of this VM if neither the store nor a relay responds; otherwise
     //! std::nullopt.
     std::optional<std::chrono::milliseconds> ageIfDisconnected() const;
@@ -170,10 +164,7 @@
     //! Time of the last call whose response showed the newest era.
     TimePoint eraShownAt;
 
-    //! Limits for the age of the data of relays, and the time until which this VM has all changes
-    //! as far as its relay or the store shows, by prefix.
-    std::map<std::string, store::DelayBudget> budgets;
-    std::map<std::string, TimePoint> freshAt;
+    std::unique_ptr<RelayDeadlines> deadlines;
 
     //! Prefixes of which changes were received from the store since the last watch.
     std::set<std::string> pausedPrefixes;
