soak: upstreams lose SYN+ACKs and send them again

Now the first SYN+ACK of one flow in 20 is lost, and each one is repeated up to eight times with growing delays until the flow opens; a client ignores all but the first; three packets within the flow time-out at an upstream that isn't the flow's own are a violation, through VMs in touch.

--- a/tools/radishbench/clienthost.cpp
+++ b/tools/radishbench/clienthost.cpp
@@ -153,25 +153,30 @@
         return;
     }
     session.token = packet->token;
-    if (packet->isSyn && !session.isOpen) {
-        session.isOpen = true;
-        session.upstreamSequence = packet->sequence;
-        session.acknowledged = packet->sequence + 1;
-        ++session.sequence;
-    }
     if (packet->isSyn) {
-        if (!session.isWaiting) {
-            ++session.step;
-            session.isWaiting = true;
-            this->sendRequest(session, kFirstRetryDelay);
-            this->schedule(session, kRequestTimeout,
-                           [this](Session &late) { this->finish(late, "requests late"); });
-        }
+        this->onSynAck(session, *packet);
         return;
     }
     this->onResponse(session, *packet);
 }
 
+void ClientHost::onSynAck(Session &session, const WirePacket &packet)
+{
+    // Another upstream that accepted the flow too sends its own; only the first one counts.
+    if (session.isOpen) {
+        return;
+    }
+    session.isOpen = true;
+    session.upstreamSequence = packet.sequence;
+    session.acknowledged = packet.sequence + 1;
+    ++session.sequence;
+    ++session.step;
+    session.isWaiting = true;
+    this->sendRequest(session, kFirstRetryDelay);
+    this->schedule(session, kRequestTimeout,
+                   [this](Session &late) { this->finish(late, "requests late"); });
+}
+
 void ClientHost::onReset(Session &session, const WirePacket &packet)
 {
     // VMs write no checksum into their resets; upstreams do.
--- a/tools/radishbench/clienthost.h
+++ b/tools/radishbench/clienthost.h
@@ -56,6 +56,7 @@
 
     void receive();
     void handle(std::span<const std::uint8_t> datagram);
+    void onSynAck(Session &session, const platform::WirePacket &packet);
     void onReset(Session &session, const platform::WirePacket &packet);
     void onResponse(Session &session, const platform::WirePacket &packet);
     void sendSyn(Session &session, std::uint32_t retransmission);
--- a/tools/radishbench/upstreamhost.cpp
+++ b/tools/radishbench/upstreamhost.cpp
@@ -9,6 +9,8 @@
 #include "standins/memorystore.h"
 #include "upstreams/types/upstreamid.h"
 
+#include <algorithm>
+
 namespace radishladder::radishbench {
 namespace {
 using platform::WirePacket;
@@ -21,6 +23,23 @@
 constexpr std::chrono::milliseconds kEvacuationBound{5000};
 constexpr std::chrono::milliseconds kConfigurationBound{3000};
 
+//! The first SYN+ACK of one flow in this many is lost.
+constexpr std::uint64_t kSynAckLossOneIn = 20;
+
+//! Upstreams send a SYN+ACK that is not acknowledged again after this time, which doubles up to the
+//! maximum.
+constexpr std::chrono::milliseconds kFirstSynAckDelay{200};
+constexpr std::chrono::milliseconds kMaxSynAckDelay{1600};
+constexpr int kSynAckRepeats = 8;
+
+//! Packets of a flow that reach another upstream than its own within the time-out of flows; fewer
+//! do no harm.
+constexpr int kMaxForeignPackets = 2;
+constexpr std::chrono::milliseconds kFlowTimeout{2000};
+
+//! Sequence numbers of a flow stay within this many bytes of its SYN+ACK.
+constexpr std::uint32_t kMaxFlowBytes = 1U << 20U;
+
 //! Most SYNs that a cold upstream may get in one second: the configured rate with the overage and
 //! slack that the settings allow by default.
 constexpr std::size_t kMaxColdSyns = platform::kWarmupFlowsPerSecond * 3 / 2 + 5;
@@ -125,7 +144,7 @@
     } else if (packet->isSyn) {
         this->accept(*packet, vmAddress);
     } else {
-        this->serve(*packet);
+        this->serve(*packet, vmAddress);
     }
 }
 
@@ -137,17 +156,67 @@
         this->checkWarmup(now);
     }
     const flows::FlowKey key{packet.source, packet.target};
-    Flow &flow = this->flows[key];
-    if (flow.sequence == 0) {
+    const auto [found, isNew] = this->flows.try_emplace(key);
+    Flow &flow = found->second;
+    if (isNew) {
         flow.sequence = static_cast<std::uint32_t>(flows::flowHash(key) ^ this->entry.id) | 1U;
     }
-    this->send({.source = packet.target,
-                .target = packet.source,
-                .isSyn = true,
-                .isAck = true,
-                .sequence = flow.sequence,
-                .acknowledged = packet.sequence + 1,
-                .token = packet.token});
+    const WirePacket synAck{.source = packet.target,
+                            .target = packet.source,
+                            .isSyn = true,
+                            .isAck = true,
+                            .sequence = flow.sequence,
+                            .acknowledged = packet.sequence + 1,
+                            .token = packet.token};
+    if (isNew) {
+        this->repeatSynAck(synAck, kFirstSynAckDelay, kSynAckRepeats);
+    }
+    if (isNew && this->isLost(key)) {
+        this->results.count("fault: SYN+ACK lost");
+        return;
+    }
+    this->send(synAck);
+}
+
+bool UpstreamHost::isLost(const flows::FlowKey &flow) const
+{
+    return (flows::flowHash(flow) ^ this->entry.id) % kSynAckLossOneIn == 0;
+}
+
+void UpstreamHost::repeatSynAck(const WirePacket &synAck, std::chrono::milliseconds delay,
+                                int times)
+{
+    this->loop.after(
+        delay, [this, synAck, delay, times, guard = std::weak_ptr<int>(this->alive)]() {
+            if (guard.expired() || !this->socket) {
+                return;
+            }
+            const auto found = this->flows.find({synAck.target, synAck.source});
+            if (found == this->flows.end() || found->second.isOpen) {
+                return;
+            }
+            this->send(synAck);
+            if (times > 1) {
+                this->repeatSynAck(synAck, std::min(delay * 2, kMaxSynAckDelay), times - 1);
+            }
+        });
+}
+
+void UpstreamHost::recordForeign(Flow &flow, const WirePacket &packet, std::uint32_t vmAddress)
+{
+    const auto now = steady_clock::now();
+    if (flow.foreignPackets == 0) {
+        flow.firstForeign = now;
+    }
+    ++flow.foreignPackets;
+    this->results.count("packets at another upstream than the flow's");
+    if (flow.foreignPackets > kMaxForeignPackets
+        && this->disturbances.isLate(vmAddress, flow.firstForeign, kFlowTimeout, now)) {
+        this->results.recordViolation("flow",
+                                      "packets of the flow from port "
+                                          + std::to_string(packet.source.port)
+                                          + " reach an upstream that is not its own");
+    }
 }
 
 void UpstreamHost::checkNewFlow(const WirePacket &packet, std::uint32_t vmAddress, TimePoint now)
@@ -191,7 +260,7 @@
         + net::addressText(vmAddress) + ", " + std::to_string(age.count()) + " ms after the change";
 }
 
-void UpstreamHost::serve(const WirePacket &packet)
+void UpstreamHost::serve(const WirePacket &packet, std::uint32_t vmAddress)
 {
     const flows::FlowKey key{packet.source, packet.target};
     const auto found = this->flows.find(key);
@@ -206,6 +275,10 @@
                     .sequence = packet.acknowledged});
         return;
     }
+    if (packet.acknowledged - found->second.sequence > kMaxFlowBytes) {
+        this->recordForeign(found->second, packet, vmAddress);
+        return;
+    }
     found->second.isOpen = true;
     if (packet.isFin) {
         this->flows.erase(found);
--- a/tools/radishbench/upstreamhost.h
+++ b/tools/radishbench/upstreamhost.h
@@ -74,15 +74,28 @@
     {
         std::uint32_t sequence = 0;
         bool isOpen = false;
+
+        //! Packets that belong to the flow of the same client on another upstream, and when the
+        //! first of them arrived.
+        int foreignPackets = 0;
+        TimePoint firstForeign;
     };
 
     void receive();
     void handle(std::span<const std::uint8_t> datagram, std::uint32_t vmAddress);
     void accept(const platform::WirePacket &packet, std::uint32_t vmAddress);
+    //! Sends \a synAck again after \a delay if its flow has not opened by then, \a times times,
+    //! with growing delays.
+    void repeatSynAck(const platform::WirePacket &synAck, std::chrono::milliseconds delay,
+                      int times);
+    //! Returns true for one SYN+ACK in some, the same ones for a seed.
+    bool isLost(const flows::FlowKey &flow) const;
+    //! Records a packet for a flow that opened on another upstream.
+    void recordForeign(Flow &flow, const platform::WirePacket &packet, std::uint32_t vmAddress);
     void checkNewFlow(const platform::WirePacket &packet, std::uint32_t vmAddress, TimePoint now);
     void checkWarmup(TimePoint now);
     std::string lateFlowText(std::uint32_t vmAddress, TimePoint change) const;
-    void serve(const platform::WirePacket &packet);
+    void serve(const platform::WirePacket &packet, std::uint32_t vmAddress);
     void send(const platform::WirePacket &packet);
     void publish();
 
