flows: announcements are adopted in one place, also by a VM whose own record never opened

Both directors wrote an announced flow into the table by themselves; FlowTable::adopt() does it for both. Found while reading: a VM with a record of the SYN that never opened gave a late retransmission to a third upstream although another VM had announced the flow as open; it is dropped now, with a test. Neighbours that send datagrams are bounded as the listed ones are.

--- a/src/app/sharedflowexchange.cpp
+++ b/src/app/sharedflowexchange.cpp
@@ -43,7 +43,9 @@
                                                  this->parts.socket.send(answer, sender);
                                              });
     this->parts.socket.flush();
-    if (isValid && !this->parts.socket.isSelfOrMember(sender)) {
+    const bool isKnown = this->neighbours.contains(sender);
+    const bool isFull = this->neighbours.size() >= kMaxNeighbours;
+    if (isValid && (isKnown || !isFull) && !this->parts.socket.isSelfOrMember(sender)) {
         this->neighbours[sender] = this->parts.clock.now();
     }
 }
--- a/src/flows/flowtable.h
+++ b/src/flows/flowtable.h
@@ -16,6 +16,7 @@
 }
 
 namespace radishladder::flows {
+struct SharedFlow;
 
 //! Stores the flows that this VM forwards, and the state of their upstreams as observed on these
 //! flows; does no I/O and reads no clock.
@@ -40,6 +41,10 @@
     FlowRecord *insert(const FlowKey &key, upstreams::UpstreamId upstream, FlowPhase phase,
                        TimePoint now);
 
+    //! Stores what another VM announced of a flow, in its record or in a new one; returns null if
+    //! the table is full.
+    FlowRecord *adopt(const FlowKey &key, const SharedFlow &announced, TimePoint now);
+
     //! Assigns the flow of \a record to another upstream.
     void reassign(FlowRecord &record, upstreams::UpstreamId upstream);
 
--- a/src/flows/internal/flowtable.cpp
+++ b/src/flows/internal/flowtable.cpp
@@ -1,6 +1,7 @@
 #include "flows/flowtable.h"
 
 #include "evidence/isharedevidence.h"
+#include "flows/types/sharedflow.h"
 #include "placement/responsetime.h"
 
 #include <algorithm>
@@ -61,6 +62,24 @@
     return &record;
 }
 
+FlowRecord *FlowTable::adopt(const FlowKey &key, const SharedFlow &announced, TimePoint now)
+{
+    FlowRecord *record = this->find(key);
+    if (record == nullptr) {
+        record = this->insert(key, announced.upstream, FlowPhase::Opening, now);
+        if (record == nullptr) {
+            return nullptr;
+        }
+    } else {
+        this->reassign(*record, announced.upstream);
+    }
+    record->phase = announced.isOpen ? FlowPhase::Open : FlowPhase::Opening;
+    record->initialSequence = announced.initialSequence;
+    record->mayHaveOtherUpstream = true;
+    record->isUpstreamProven = announced.isOpen;
+    return record;
+}
+
 void FlowTable::reassign(FlowRecord &record, upstreams::UpstreamId upstream)
 {
     const bool wasBusy = record.isBusy;
--- a/src/flows/internal/openflowdirector.cpp
+++ b/src/flows/internal/openflowdirector.cpp
@@ -150,21 +150,13 @@
         return record;
     }
     const SharedFlow flow = *announced;
+    record = this->table.adopt(packet.flow, flow, now);
     if (record == nullptr) {
-        record = this->table.insert(packet.flow, flow.upstream, FlowPhase::Open, now);
-        if (record == nullptr) {
-            return nullptr;
-        }
-    } else {
-        this->table.reassign(*record, flow.upstream);
-        restartWait(*record, now);
+        return nullptr;
     }
-    record->phase = FlowPhase::Open;
+    restartWait(*record, now);
     record->acknowledged = packet.acknowledged;
     record->highestSequence = packet.sequence - 1;
-    record->initialSequence = flow.initialSequence;
-    record->mayHaveOtherUpstream = true;
-    record->isUpstreamProven = true;
     // The VM that announced the flow may end before it does.
     this->sharedFlows->announce(packet.flow, flow, now);
     return record;
--- a/src/flows/internal/openingdirector.cpp
+++ b/src/flows/internal/openingdirector.cpp
@@ -63,7 +63,7 @@
         return refuseOpening(packet, ResultCode::FlowNoRoute);
     }
     FlowRecord *record = this->findRecord(packet, now);
-    const FlowDecision decision = this->decideFor(packet, *route, record, now);
+    FlowDecision decision = this->decideFor(packet, *route, record, now);
     record = this->isLeaving ? this->table.find(packet.flow) : nullptr;
     if (record != nullptr && record->phase == FlowPhase::Opening) {
         this->announceOpening(packet.flow, *record, now);
@@ -89,20 +89,18 @@
         return nullptr;
     }
     FlowRecord *record = this->table.find(packet.flow);
-    const SharedFlow *shared =
+    const SharedFlow *announced =
         this->sharedFlows == nullptr ? nullptr : this->sharedFlows->find(packet);
-    if (record != nullptr || shared == nullptr) {
+    const bool isOpenElsewhere = announced != nullptr && announced->isOpen && record != nullptr
+        && record->phase == FlowPhase::Opening;
+    if (announced == nullptr || (record != nullptr && !isOpenElsewhere)) {
         return record;
     }
-    const FlowPhase phase = shared->isOpen ? FlowPhase::Open : FlowPhase::Opening;
-    record = this->table.insert(packet.flow, shared->upstream, phase, now);
+    record = this->table.adopt(packet.flow, *announced, now);
     if (record != nullptr) {
-        record->waitingSince = shared->openingSince;
-        record->initialSequence = packet.sequence;
+        record->waitingSince = announced->openingSince;
         record->highestSequence = packet.sequence;
-        record->mayHaveOtherUpstream = true;
-        record->isUpstreamProven = shared->isOpen;
-        this->table.setBusy(*record, !shared->isOpen);
+        this->table.setBusy(*record, !announced->isOpen);
     }
     return record;
 }
--- a/src/flows/tests/acceptedtwicetest.cpp
+++ b/src/flows/tests/acceptedtwicetest.cpp
@@ -155,6 +155,25 @@
     cr_expect_eq(fleet.decide("late", fleet.vm("late").data(1, 1, 301)).upstream.value, 2U);
 }
 
+Test(acceptedtwice, a_late_syn_of_a_flow_that_opened_through_another_vm_is_dropped)
+{
+    // Guards against a third upstream: the VM that sent the first SYN has a record that never
+    // opened.
+    SharedFlowFleet fleet;
+    fleet.start("first");
+    fleet.start("opener");
+    makeBusy(fleet, "opener");
+    fleet.decide("first", fleet.vm("first").syn(1));
+    fleet.pass(200ms);
+    fleet.decide("opener", fleet.vm("opener").syn(1, 1));
+    fleet.decide("opener", fleet.vm("opener").data(1, 2, 101));
+    fleet.pass(400ms);
+    const FlowDecision late = fleet.decide("first", fleet.vm("first").syn(1, 2));
+    cr_expect(late.action == FlowAction::Drop);
+    const FlowPacket data = fleet.vm("first").data(1, 1, 301);
+    cr_expect_eq(fleet.decide("first", data).upstream.value, 2U);
+}
+
 Test(acceptedtwice, a_later_flow_from_the_same_port_is_not_taken_for_the_announced_one)
 {
     // Guards against packets of a new flow that are sent to the upstream of an earlier one.
--- a/src/flows/tests/sharedflowfleet.h
+++ b/src/flows/tests/sharedflowfleet.h
@@ -56,11 +56,12 @@
                 while (const std::size_t size = vm->flows.nextDatagram(out, this->now)) {
                     this->sendToOthers(name, std::span(out).first(size));
                 }
-                vm->flows.sweep(this->now, kRetention, [&vm](const FlowKey &flow) {
-                    const FlowRecord *record = vm->fixture.table.find(flow);
+                FlowTable &table = vm->fixture.table;
+                vm->flows.sweep(this->now, kRetention, [&table](const FlowKey &flow) {
+                    const FlowRecord *record = table.find(flow);
                     return record != nullptr && record->phase == FlowPhase::Open;
                 });
-                vm->fixture.table.sweep(this->now, kRetention);
+                table.sweep(this->now, kRetention);
             }
         }
     }
