--- a/src/distribution/internal/relaydeadlines.h
+++ b/src/distribution/internal/relaydeadlines.h
@@ -42,8 +42,7 @@
     //! Returns true if changes of \a prefix can pass a relay within their limit.
     bool allowsRelays(const std::string &prefix) const;
 
-    //! Returns true if the data of \a prefix is so old that it is not worth another request to the
-    //! same relay.
+    //! Returns true if the data of \a prefix is too old for another request to the same relay.
     bool isTooOld(const std::string &prefix, TimePoint now) const;
 
     //! Returns the times of a request to a relay that is to wait at most for \a wait.
