app: a VM asks other data centres for flows only if its own has few members

Cause: a VM that starts while the store is slow goes on after 30 ms without the list of members, took itself for the only one, listed the whole fleet and sent requests to 256 VMs; all VMs did so at once, and then announced their flows to each other.

Change: the members are reported when a list of them has arrived, not when the wait for it ends; at most 64 VMs of other data centres are asked.

The new test fails on the code before: at 20 and 200 ms of the store the VM knows 1 member when they are reported, 8 are there.

--- a/src/app/sharedflowexchange.cpp
+++ b/src/app/sharedflowexchange.cpp
@@ -16,8 +16,8 @@
 
 constexpr int kRequests = 4;
 
-//! Bounds the datagrams per announcement.
-constexpr std::size_t kMaxNeighbours = 256;
+//! Bounds the datagrams per announcement and request.
+constexpr std::size_t kMaxNeighbours = 64;
 
 //! A VM of another data centre that has sent nothing for this long has no clients of this one.
 constexpr std::chrono::seconds kNeighbourRetention{60};
--- a/src/app/storeview.cpp
+++ b/src/app/storeview.cpp
@@ -120,7 +120,10 @@
 {
     // The relays are chosen from the member list. If the store is slow to list the members, this VM
     // lists and watches at the store directly.
-    this->memberPoller.start([this]() { this->startFollowers(); });
+    this->memberPoller.start([this]() {
+        this->reportMembers();
+        this->startFollowers();
+    });
     this->loop.after(kMemberListTimeout, [this]() { this->startFollowers(); });
 }
 
@@ -135,15 +138,22 @@
     });
 }
 
+void StoreView::reportMembers()
+{
+    if (!this->areMembersReported && this->leaseMembership.hasListed()) {
+        this->areMembersReported = true;
+        if (this->membersListedHandler) {
+            this->membersListedHandler();
+        }
+    }
+}
+
 void StoreView::startFollowers()
 {
     if (this->isFollowing) {
         return;
     }
     this->isFollowing = true;
-    if (this->membersListedHandler) {
-        this->membersListedHandler();
-    }
     this->operatorFollower.start();
     this->upstreamFollower.start();
     this->freezePoller.start();
@@ -179,6 +189,7 @@
     this->relayedStore.tick();
     this->leaseMembership.setLiveRelay(this->relayedStore.hasLiveRelay());
     this->updatePacing();
+    this->reportMembers();
 }
 
 void StoreView::updatePacing()
--- a/src/app/storeview.h
+++ b/src/app/storeview.h
@@ -66,8 +66,8 @@
     //! the store is lost or restored.
     void start(ConnectionHandler handler);
 
-    //! Sets the function that is called when the members are listed for the first time, before the
-    //! configuration and the upstreams are; called without a list if the store is slow.
+    //! Sets the function that is called when the members have been listed for the first time:
+    //! before the configuration and the upstreams are, unless the store is slow.
     void setMembersListedHandler(std::function<void()> handler)
     {
         this->membersListedHandler = std::move(handler);
@@ -105,6 +105,7 @@
     void onEraChanged(std::uint64_t oldEra, std::uint64_t newEra);
     void startAfterMemberList();
     void startAfterRelays();
+    void reportMembers();
     void startFollowers();
     //! Sets the delays between calls to the store, which depend on whether this VM is a relay and
     //! on the configuration.
@@ -144,5 +145,6 @@
     std::optional<store::StoreRevision> awaitedRevision;
     routing::RouteTable &routes;
     bool hasConfiguration = false;
+    bool areMembersReported = false;
 };
 }
--- a/src/app/tests/storeviewtest.cpp
+++ b/src/app/tests/storeviewtest.cpp
@@ -123,6 +123,20 @@
     }
 }
 
+Test(storeview, a_vm_knows_the_members_when_their_list_is_reported)
+{
+    // Load pattern: a whole fleet starts again, and the store is slow for a moment. A VM that takes
+    // itself for the only one in its data centre would list all others and send requests to them.
+    for (const auto storeDelay : {2ms, 20ms, 200ms}) {
+        const auto fleet = startedFleet(8);
+        fleet->storeDelay = storeDelay;
+        ViewFleet::View &starting = fleet->add();
+        fleet->loop.advance(2s);
+        cr_expect_geq(starting.listedMembers, 8U, "%ld ms: %zu", storeDelay.count(),
+                      starting.listedMembers);
+    }
+}
+
 Test(storeview, a_vm_that_starts_knows_the_upstreams_as_of_the_configuration)
 {
     // Guards against a listing of the upstreams by a relay that is older than the listing of the
--- a/src/app/tests/viewfleet.h
+++ b/src/app/tests/viewfleet.h
@@ -37,6 +37,9 @@
         upstreams::UpstreamRegistry registry{std::chrono::seconds(60)};
         StoreView view;
 
+        //! Members that were known when their list was reported; 0 before that.
+        std::size_t listedMembers = 0;
+
         //! No packet passes between this VM and the store.
         bool isCut = false;
     };
@@ -61,6 +64,8 @@
         settings.store = kStore;
         this->views.push_back(std::make_unique<View>(*this, number, settings));
         View &added = *this->views.back();
+        added.view.setMembersListedHandler(
+            [&added]() { added.listedMembers = added.view.membership().members().size(); });
         added.view.start([](bool) {});
         this->loop.every(std::chrono::milliseconds(250), [&added]() { added.view.tick(); });
         return added;
@@ -80,6 +85,9 @@
     bool accepts(telemetry::LogKind) override { return false; }
     void write(const telemetry::LogEntry &) override { }
 
+    //! Delay of the store in each direction.
+    std::chrono::milliseconds storeDelay{2};
+
     ManualClock clock;
     net::ManualEventLoop loop{this->clock};
     standins::MemoryStore store{this->loop};
@@ -100,7 +108,7 @@
                 this->server.handle(request, respond);
             }
         };
-        const std::chrono::milliseconds delay(isStore ? 2 : 1);
+        const auto delay = isStore ? this->storeDelay : std::chrono::milliseconds(1);
         return std::make_unique<DelayedConnection>(this->loop, delay, handle);
     }
 
--- a/src/membership/internal/leasemembership.cpp
+++ b/src/membership/internal/leasemembership.cpp
@@ -158,6 +158,7 @@
 
 void LeaseMembership::onSnapshot(const std::vector<store::StoreItem> &items)
 {
+    this->isListed = true;
     std::set<VmName> listed;
     for (const store::StoreItem &item : items) {
         listed.insert(VmName(item.key.substr(item.key.rfind('/') + 1)));
--- a/src/membership/leasemembership.h
+++ b/src/membership/leasemembership.h
@@ -86,6 +86,9 @@
     std::optional<RelayOffer> relayOfferOf(const VmName &member) const override;
     bool isSettled() const override;
 
+    //! Returns true once the store, or a relay, has listed the members.
+    bool hasListed() const { return this->isListed; }
+
     void onSnapshot(const std::vector<store::StoreItem> &items) override;
     void onChanges(const std::vector<store::StoreItem> &items) override;
     void onConnectionLost(const std::string &detail) override;
@@ -141,6 +144,7 @@
     std::chrono::milliseconds retryInterval;
     bool isAcquiring = false;
     bool isLeaving = false;
+    bool isListed = false;
     std::optional<TimePoint> joinedAt;
 
     std::map<VmName, Member> membersByName;
