--- a/review/rig-3/host.cpp
+++ b/review/rig-3/host.cpp
@@ -86,17 +86,6 @@
     this->store.remove(entryKey(this->settings.id));
 }
 
-void Host::pause(Duration duration)
-{
-    this->isPaused = true;
-    // Datagrams wait in the queue of the socket meanwhile.
-    this->loop.unwatch(this->socket);
-    this->loop.after(duration, [this]() {
-        this->isPaused = false;
-        this->loop.watch(this->socket, [this]() { this->receive(); });
-    });
-}
-
 void Host::beat(std::uint64_t current)
 {
     if (current != this->incarnation) {
@@ -253,10 +242,6 @@
 
 void Host::finish(const FlowKey &key, const std::string &id)
 {
-    if (this->isPaused) {
-        this->loop.after(kFirstRetransmission, [this, key, id]() { this->finish(key, id); });
-        return;
-    }
     const auto found = this->flows.find(key);
     if (found == this->flows.end()) {
         return;
@@ -278,8 +263,7 @@
     flow.isWaiting = true;
     flow.retransmissions = 0;
     flow.generation = ++this->lastGeneration;
-    flow.unacknowledged.echo = flow.echo;
-    this->send(flow.unacknowledged);
+    this->transmit(key, flow);
     this->loop.after(kFirstRetransmission, [this, key, generation = flow.generation]() {
         this->retransmit(key, generation);
     });
@@ -287,11 +271,6 @@
 
 void Host::retransmit(const FlowKey &key, std::uint64_t generation)
 {
-    if (this->isPaused) {
-        this->loop.after(kFirstRetransmission,
-                         [this, key, generation]() { this->retransmit(key, generation); });
-        return;
-    }
     const auto found = this->flows.find(key);
     if (found == this->flows.end() || found->second.generation != generation
         || !found->second.isWaiting) {
@@ -302,13 +281,22 @@
         this->flows.erase(found);
         return;
     }
-    flow.unacknowledged.echo = flow.echo;
-    this->send(flow.unacknowledged);
+    this->transmit(key, flow);
     const Duration delay =
         std::min(kFirstRetransmission * (1 << flow.retransmissions), kLastRetransmission);
     this->loop.after(delay, [this, key, generation]() { this->retransmit(key, generation); });
 }
 
+void Host::transmit(const FlowKey &key, Flow &flow)
+{
+    flow.unacknowledged.echo = flow.echo;
+    const bool isLost = flow.unacknowledged.isSyn && this->losesSynAck
+        && this->losesSynAck(key, flow.retransmissions);
+    if (!isLost) {
+        this->send(flow.unacknowledged);
+    }
+}
+
 void Host::send(const Packet &packet)
 {
     const auto bytes = encodePacket(packet);
--- a/review/rig-3/host.h
+++ b/review/rig-3/host.h
@@ -31,9 +31,6 @@
     //! Ends the process of the host; its entry and its flows go.
     void stop();
 
-    //! Lets the process of the host stand still: it handles and sends nothing for \a duration.
-    void pause(EventLoop::Duration duration);
-
     bool isCold() const { return EventLoop::now() < this->warmAt; }
     std::size_t flowCount() const { return this->flows.size(); }
     const HostSettings &hostSettings() const { return this->settings; }
@@ -41,6 +38,10 @@
     //! Called when the host has taken a SYN that opens a flow, once the client acknowledges it.
     std::function<void(const Opening &)> onOpened;
 
+    //! Returns true if the network loses this transmission of the SYN+ACK of a flow, 0 being the
+    //! first one.
+    std::function<bool(const FlowKey &, int)> losesSynAck;
+
     //! Called when the host sends a reset for a flow that it doesn't hold.
     std::function<void(const FlowKey &)> onReset;
 
@@ -70,6 +71,7 @@
     void handleData(const FlowKey &key, Flow &flow, const Packet &packet);
     void sendReliably(const FlowKey &key, Flow &flow, const Packet &packet);
     void retransmit(const FlowKey &key, std::uint64_t generation);
+    void transmit(const FlowKey &key, Flow &flow);
     void send(const Packet &packet);
     void sendReset(const Packet &packet);
     void runNext();
@@ -85,7 +87,6 @@
     std::int64_t born = 0;
     std::int64_t sequence = 0;
     bool isDraining = false;
-    bool isPaused = false;
     EventLoop::Clock::time_point warmAt;
     std::map<FlowKey, Flow> flows;
     std::deque<std::pair<FlowKey, std::string>> queue;
--- a/review/rig-3/lostneighbours.cpp
+++ b/review/rig-3/lostneighbours.cpp
@@ -1,10 +1,11 @@
-// Case: the only VM of a zone is killed after a host of the zone has hung for moments.
+// Case: the only VM of a zone loses power after SYN+ACKs of some flows were lost.
 
 #include "deployment.h"
 
 #include <array>
 #include <iostream>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,30 +27,28 @@
 //! Index of the only VM of the clients' zone.
 constexpr std::size_t kOnlyVm = 6;
 
-//! Index of the host that hangs: one of 14, in the clients' zone.
-constexpr std::size_t kHungHost = 8;
-constexpr std::size_t kClients = 20;
+constexpr std::size_t kBusyClients = 20;
 
 //! The VMs run for this long before anything happens.
 constexpr Duration kCalm{66000};
 
-//! New long flows: 140 a second, around the beginning of each hang.
-constexpr Duration kOpenInterval{7};
-constexpr Duration kOpenBefore{100};
-constexpr Duration kOpenFor{500};
+//! Long flows in the clients' zone, in a quiet hour.
+constexpr int kLongFlows = 8;
+constexpr Duration kOpenInterval{500};
 
-//! The host hangs three times within the 6.5 s that the pages allow.
-constexpr int kHangs = 3;
-constexpr Duration kHangFor{1200};
-constexpr Duration kHangInterval{1700};
+//! Transmissions of the SYN+ACK of the first host that takes a long flow, which are lost.
+constexpr int kLostSynAcks = 2;
 
-//! Time between the first request of a flow and the second one.
-constexpr Duration kPause{11000};
-
-//! More than contact_ms after the last hang.
-constexpr Duration kKillAfter{11400};
+//! Time between the first request of a long flow and the second one.
+constexpr Duration kPause{10000};
+constexpr Duration kKillAfter{10000};
 constexpr Duration kDarkFor{2800};
-constexpr Duration kEndAfter{19000};
+
+//! Other traffic in the other zones, 100 flows a second of a request each.
+constexpr const char *kBusyZone = "obuda";
+constexpr Duration kBusyFor{18000};
+constexpr Duration kBusyInterval{10};
+constexpr Duration kEndAfter{18000};
 
 class LostNeighbours
 {
@@ -63,14 +62,16 @@
 
 private:
     void addHost(const std::string &zone);
-    void hang();
-    void openFlows();
+    void openBusy();
+    bool loses(const Host &host, const FlowKey &flow, int transmission);
     void onEnd(const Client::Report &report);
     void judge();
 
     Deployment &deployment;
     bool hasTrouble;
-    EventLoop::Clock::time_point openUntil;
+    EventLoop::Clock::time_point busyUntil;
+    std::set<FlowKey> longFlows;
+    std::map<FlowKey, const Host *> firstHostOf;
     std::size_t nextClient = 0;
 
     //! Host at which each flow opened.
@@ -91,12 +92,17 @@
             this->addHost(zone.name);
         }
     }
-    this->deployment.addClients(kClientZone, kClients);
+    this->deployment.addClients(kClientZone, kLongFlows);
+    this->deployment.addClients(kBusyZone, kBusyClients);
     this->deployment.configure(
         7, {{.name = "r-board", .address = this->deployment.routeAddress(0), .service = "portal"}},
         {{.name = "portal"}});
-    for (const auto &client : this->deployment.allClients()) {
-        client->onEnd = [this](const Client::Report &report) { this->onEnd(report); };
+    for (int i = 0; i < kLongFlows; ++i) {
+        Client &client = *this->deployment.allClients()[static_cast<std::size_t>(i)];
+        client.onSyn = [this](const FlowKey &flow, std::uint32_t, std::size_t) {
+            this->longFlows.insert(flow);
+        };
+        client.onEnd = [this](const Client::Report &report) { this->onEnd(report); };
     }
 }
 
@@ -105,6 +111,9 @@
     Host &host =
         this->deployment.addHost({.service = "portal", .zone = zone, .workTime = Duration(5)});
     host.onOpened = [this, &host](const Opening &opening) { this->hostOf[opening.flow] = &host; };
+    host.losesSynAck = [this, &host](const FlowKey &flow, int transmission) {
+        return this->loses(host, flow, transmission);
+    };
     host.onReset = [this, &host](const FlowKey &flow) { this->resetBy[flow] = &host; };
     host.start(false);
 }
@@ -113,8 +122,13 @@
 {
     EventLoop &loop = this->deployment.eventLoop();
     loop.after(kCalm, [this, &loop]() {
-        for (int i = 0; i < kHangs; ++i) {
-            loop.after(i * kHangInterval, [this]() { this->hang(); });
+        this->busyUntil = EventLoop::now() + kBusyFor;
+        this->openBusy();
+        for (int i = 0; i < kLongFlows; ++i) {
+            loop.after(i * kOpenInterval, [this, i]() {
+                this->deployment.allClients()[static_cast<std::size_t>(i)]->open(
+                    {.route = this->deployment.routeAddress(0), .requests = 2, .pause = kPause});
+            });
         }
         loop.after(kKillAfter, [this, &loop]() {
             if (!this->hasTrouble) {
@@ -128,28 +142,30 @@
     });
 }
 
-void LostNeighbours::hang()
+void LostNeighbours::openBusy()
 {
-    EventLoop &loop = this->deployment.eventLoop();
-    this->openUntil = EventLoop::now() + kOpenFor;
-    this->openFlows();
-    loop.after(kOpenBefore, [this]() {
-        if (this->hasTrouble) {
-            this->deployment.record("host 9: hangs for 1200 ms");
-            this->deployment.allHosts()[kHungHost]->pause(kHangFor);
-        }
-    });
+    if (EventLoop::now() >= this->busyUntil) {
+        return;
+    }
+    auto &clients = this->deployment.allClients();
+    clients[kLongFlows + this->nextClient++ % kBusyClients]->open(
+        {.route = this->deployment.routeAddress(0)});
+    this->deployment.eventLoop().after(kBusyInterval, [this]() { this->openBusy(); });
 }
 
-void LostNeighbours::openFlows()
+bool LostNeighbours::loses(const Host &host, const FlowKey &flow, int transmission)
 {
-    if (EventLoop::now() >= this->openUntil) {
-        return;
+    if (!this->hasTrouble || !this->longFlows.contains(flow)) {
+        return false;
     }
-    auto &clients = this->deployment.allClients();
-    clients[this->nextClient++ % clients.size()]->open(
-        {.route = this->deployment.routeAddress(0), .requests = 2, .pause = kPause});
-    this->deployment.eventLoop().after(kOpenInterval, [this]() { this->openFlows(); });
+    const bool isFirstHost = this->firstHostOf.try_emplace(flow, &host).first->second == &host;
+    const bool isLost = isFirstHost && transmission < kLostSynAcks;
+    if (isLost) {
+        this->deployment.record("lost: SYN+ACK " + std::to_string(transmission + 1) + " of "
+                                + endpointText(host.hostSettings().address) + " to "
+                                + endpointText(flow.first));
+    }
+    return isLost;
 }
 
 void LostNeighbours::onEnd(const Client::Report &report)
@@ -158,12 +174,11 @@
         ++this->answered;
         return;
     }
-    const Host &hung = *this->deployment.allHosts()[kHungHost];
     const auto host = this->hostOf.find(report.flow);
     const auto resetter = this->resetBy.find(report.flow);
     const bool isBroken = report.result == FlowResult::Reset && host != this->hostOf.end()
-        && host->second != &hung && resetter != this->resetBy.end()
-        && resetter->second != host->second && report.vm != kOnlyVm;
+        && resetter != this->resetBy.end() && resetter->second != host->second
+        && report.vm != kOnlyVm;
     if (!isBroken) {
         ++this->otherEnds;
         return;
@@ -178,7 +193,7 @@
 
 void LostNeighbours::judge()
 {
-    const std::string summary = "flows answered twice: " + std::to_string(this->answered)
+    const std::string summary = "long flows answered twice: " + std::to_string(this->answered)
         + ", reset by another host than their own through a calm VM: "
         + std::to_string(this->broken) + ", ended otherwise: " + std::to_string(this->otherEnds);
     this->deployment.record(summary);
