--- a/review/rig-3/staleview.cpp
+++ b/review/rig-3/staleview.cpp
@@ -34,7 +34,7 @@
 constexpr Duration kRefusedFor{9000};
 constexpr Duration kDrainAfter{500};
 constexpr Duration kServedWhileDraining{3500};
-constexpr Duration kDown{200};
+constexpr Duration kDown{50};
 constexpr Duration kEnd{11000};
 
 //! A flow that a cold host took.
