--- a/review/rig-3/lostmember.cpp
+++ b/review/rig-3/lostmember.cpp
@@ -19,10 +19,12 @@
 
 //! VMs whose first write is executed late and that are killed.
 constexpr std::array<std::size_t, 2> kKilledVms{0, 1};
-constexpr std::size_t kHosts = 6;
-constexpr std::size_t kNewHosts = 12;
+constexpr std::size_t kHosts = 8;
+
+//! Hosts that a release replaces: a share of 0.375, one at a time.
+constexpr std::size_t kNewHosts = 3;
 constexpr std::size_t kClients = 40;
-constexpr double kWarmupPerSecond = 10;
+constexpr double kWarmupPerSecond = 8;
 
 //! The rule's limit: warmup_per_s x warmup_overage + warmup_slack.
 constexpr double kLimit = kWarmupPerSecond * 1.5 + 5;
@@ -34,10 +36,10 @@
 
 //! Planned work: the VMs are stopped and started in turn.
 constexpr Duration kRollAt{5000};
-constexpr Duration kRollInterval{1000};
+constexpr Duration kRollInterval{2000};
 
 //! Within the 1 to 6 s after which lost writes are done.
-constexpr Duration kWriteDelay{5000};
+constexpr Duration kWriteDelay{5500};
 
 //! Both VMs have started again by then, and their writes have not been done yet.
 constexpr Duration kKillAt{9800};
@@ -119,7 +121,7 @@
         this->deployment.platformStore().delayNextWrite(this->deployment.storeAddressOf(vm),
                                                         kWriteDelay);
         this->deployment.record("store: will not answer the next write of " + name
-                                + " and do it 5 s later");
+                                + " and do it 5.5 s later");
     }
     this->deployment.restartVm(vm);
 }
